LibCore: Add the first version of the package

Cause: the thin path from caller to backend servers needs it. Change: the types that other packages share, and the simplest rules behind them.

--- /dev/null
+++ b/Libraries/LibCore/Result.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "LibCore/Error.h"
+
+#include <boost/outcome/result.hpp>
+
+namespace Core
+{
+/// Either a value or an error. Reading the wrong one throws, which tests rely on.
+template<typename Value> using result = boost::outcome_v2::checked<Value, error>;
+
+/// Returns a successful result without a value.
+[[nodiscard]] inline auto success()
+{
+    return boost::outcome_v2::success();
+}
+} // namespace Core
--- /dev/null
+++ b/Libraries/LibCore/Try.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "LibCore/Result.h"
+
+#include <utility>
+
+/// Evaluates an expression of type Core::result and yields its value, or returns its error from the calling function.
+// NOLINTNEXTLINE(cppcoreguidelines-macro-usage)
+#define TRY(expression) \
+    ({ \
+        auto &&tryResult = (expression); \
+        if (!tryResult.has_value()) { \
+            return std::move(tryResult).as_failure(); \
+        } \
+        std::move(tryResult).assume_value(); \
+    })
--- /dev/null
+++ b/Libraries/LibCore/Verify.cpp
@@ -0,0 +1,13 @@
+#include "LibCore/Verify.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace Core
+{
+void failVerification(const char *expression, const char *file, int line)
+{
+    std::fprintf(stderr, "%s:%d: invariant does not hold: %s\n", file, line, expression);
+    std::abort();
+}
+} // namespace Core
