LibConfiguration: Add the first version of the package

Cause: the thin path from caller to backend servers needs it. Change: the types that other packages share, and the simplest rules behind them. Conclusion: the interfaces are fixed for parallel work.

--- /dev/null
+++ b/Libraries/LibConfiguration/DataCentreSettings.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace Configuration
+{
+/// One data centre: its region, and whether operators have taken it out of service.
+struct data_centre_settings {
+    std::string region;
+    bool out = false; ///< True: no new work goes to its backend servers or its daemons.
+    bool operator==(const data_centre_settings &) const = default;
+};
+} // namespace Configuration
--- /dev/null
+++ b/Libraries/LibConfiguration/JsonReader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "LibCore/Finding.h"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Configuration
+{
+/// Reads members of one JSON object and collects every fault with its JSON pointer.
+class json_reader
+{
+public:
+    /// Reads `value`, which lies at `path` in its document. Both lists of faults and value must outlive the reader.
+    json_reader(const boost::json::value &value, std::string path, std::vector<Core::finding> &findings);
+
+    /// Each of these leaves the target as it is when the member is absent, and adds a finding when it is malformed.
+    void readString(std::string_view name, std::string &target);
+    void readBoolean(std::string_view name, bool &target);
+    void readNumber(std::string_view name, double &target, double least, double most);
+    void readCount(std::string_view name, std::uint32_t &target, std::uint32_t least, std::uint32_t most);
+    void readUnsigned(std::string_view name, std::uint64_t &target);
+    void readMilliseconds(std::string_view name, std::chrono::milliseconds &target, std::chrono::milliseconds least,
+                          std::chrono::milliseconds most);
+    void readWallTime(std::string_view name, std::chrono::system_clock::time_point &target);
+    void readStringSet(std::string_view name, std::set<std::string> &target);
+    void readStringList(std::string_view name, std::vector<std::string> &target);
+    /// Calls `readMember` with a reader for each member of an object of objects.
+    void readEach(std::string_view name, const std::function<void(const std::string &, json_reader &)> &readMember);
+    /// Calls `readChild` if the member is present.
+    void readChild(std::string_view name, const std::function<void(json_reader &)> &readChild);
+
+    /// Adds a finding for an absent member.
+    void require(std::string_view name);
+    /// Adds a finding for a member of this object, or for the object itself if the name is empty.
+    void report(std::string_view name, std::string message);
+    /// Adds a finding for each member that was not read; call it last.
+    void reportUnknownMembers();
+
+private:
+    const boost::json::value *take(std::string_view name);
+    std::string pathOf(std::string_view name) const;
+
+    const boost::json::object *m_object = nullptr;
+    std::string m_path;
+    std::vector<Core::finding> &m_findings;
+    std::set<std::string, std::less<>> m_known;
+};
+} // namespace Configuration
