LibQuery: Add the first version of the package

Cause: the thin path from caller to backend servers needs it. Change: the types that other packages share, and the simplest rules behind them. Conclusion: the interfaces are fixed for parallel work.

--- /dev/null
+++ b/Libraries/LibQuery/QueryEvents.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibCore/RandomEngine.h"
+#include "LibCore/Time.h"
+#include "LibQuery/QueryEffects.h"
+#include "LibQuery/QueryState.h"
+
+#include <cstdint>
+
+namespace Backend
+{
+struct service_state;
+enum class attempt_failure;
+} // namespace Backend
+
+namespace Query
+{
+struct shard_answer;
+
+/// Starts a query: chooses a target for each shard. The caller holds the service's lock during each of these calls.
+[[nodiscard]] query_effects startQuery(query_state &query, Backend::service_state &service, Core::time_point now,
+                                       Core::random_engine &random);
+
+/// Takes an answer to one attempt. Answers to other requests, snapshots or ended attempts are never merged.
+[[nodiscard]] query_effects onAnswer(query_state &query, Backend::service_state &service, std::uint64_t attempt,
+                                     const shard_answer &answer, Core::time_point now, Core::random_engine &random);
+
+/// Takes the end of an attempt without an answer; retries where that is safe.
+[[nodiscard]] query_effects onFailure(query_state &query, Backend::service_state &service, std::uint64_t attempt,
+                                      Backend::attempt_failure failure, Core::time_point now,
+                                      Core::random_engine &random);
+
+/// Sends hedges that are due and ends the query at its deadline.
+[[nodiscard]] query_effects onTimer(query_state &query, Backend::service_state &service, Core::time_point now,
+                                    Core::random_engine &random);
+} // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/QueryPlan.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibQuery/PlannedShard.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Query
+{
+/// Everything that is fixed when a query starts: its pinned snapshot and version, its shards and its deadline.
+struct query_plan {
+    std::string requestId;
+    std::string service;
+    std::string route;
+    std::string team;
+    std::string snapshot;
+    std::string version; ///< Replicas of this version serve the query; empty: any.
+    std::vector<planned_shard> shards;
+    std::set<std::string> dataCentres; ///< Allowed data centres; empty: all.
+    Core::time_point deadline;
+    double minimumCoverage = 0.0;
+    bool idempotent = true;
+    bool ownReplicasOnly = false; ///< Set on a branch, which never passes work on to another daemon.
+};
+} // namespace Query
