LibPlatform: Add the first version of the package

Cause: the thin path from caller to backend servers needs it. Change: the types that other packages share, and the simplest rules behind them.

--- /dev/null
+++ b/Libraries/LibPlatform/BackendCodec.cpp
@@ -0,0 +1,119 @@
+#include "LibPlatform/BackendCodec.h"
+
+#include "LibPlatform/ShardCall.h"
+#include "LibQuery/ShardAnswer.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace Platform
+{
+namespace json = boost::json;
+
+http_call encodeShardCall(const shard_call &call)
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(call.timeRemaining).count();
+    http_call encoded;
+    encoded.method = "POST";
+    encoded.url = "http://" + call.address + "/v1/shards/" + call.shard + "/" + call.route;
+    encoded.headers = {"Content-Type: application/json", "X-Request-Id: " + call.requestId,
+                       "X-Attempt-Id: " + call.attemptId, "X-Snapshot: " + call.snapshot,
+                       "X-Time-Remaining-Ms: " + std::to_string(remaining)};
+    if (!call.traceParent.empty()) {
+        encoded.headers.push_back("traceparent: " + call.traceParent);
+    }
+    encoded.body = json::serialize(json::object {{"query", call.text}});
+    encoded.timeout = call.timeRemaining;
+    encoded.reuse = call.idempotent ? connection_reuse::Allowed : connection_reuse::Forbidden;
+    return encoded;
+}
+
+http_call encodeCancelCall(const shard_call &call)
+{
+    http_call encoded;
+    encoded.method = "DELETE";
+    encoded.url = "http://" + call.address + "/v1/requests/" + call.attemptId;
+    encoded.timeout = std::chrono::seconds(1);
+    return encoded;
+}
+
+static std::string stringMember(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+static bool booleanMember(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+static double numberMember(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_number() ? value->to_number<double>() : 0.0;
+}
+
+static bool decodeItems(const json::object &object, std::vector<Query::result_item> &items)
+{
+    const json::value *results = object.if_contains("results");
+    if (results == nullptr || !results->is_array()) {
+        return false;
+    }
+    for (const json::value &result : results->get_array()) {
+        if (!result.is_object()) {
+            return false;
+        }
+        items.push_back({stringMember(result.get_object(), "id"), numberMember(result.get_object(), "score")});
+    }
+    return true;
+}
+
+static Backend::attempt_failure convertFailure(call_failure failure)
+{
+    switch (failure) {
+    case call_failure::ConnectFailed:
+        return Backend::attempt_failure::ConnectFailed;
+    case call_failure::TimedOut:
+        return Backend::attempt_failure::Silent;
+    case call_failure::ConnectionLost:
+    case call_failure::None:
+        return Backend::attempt_failure::ConnectionLost;
+    }
+    return Backend::attempt_failure::ConnectionLost;
+}
+
+std::variant<Query::shard_answer, Backend::attempt_failure> decodeShardAnswer(const call_outcome &outcome)
+{
+    if (outcome.failure != call_failure::None) {
+        return convertFailure(outcome.failure);
+    }
+    boost::system::error_code error;
+    const json::value value = json::parse(outcome.response.body, error);
+    if (error || !value.is_object()) {
+        return Backend::attempt_failure::Faulty;
+    }
+    const json::object &object = value.get_object();
+    if (booleanMember(object, "snapshot_gone")) {
+        return Backend::attempt_failure::SnapshotGone;
+    }
+    if (booleanMember(object, "not_run")) {
+        return Backend::attempt_failure::NotRun;
+    }
+    Query::shard_answer answer;
+    if (outcome.response.status != 200 || !decodeItems(object, answer.items)) {
+        return Backend::attempt_failure::Faulty;
+    }
+    answer.requestId = stringMember(object, "request_id");
+    answer.snapshot = stringMember(object, "snapshot");
+    answer.shard = stringMember(object, "shard");
+    answer.report.incarnation = stringMember(object, "incarnation");
+    answer.report.load = numberMember(object, "load");
+    answer.report.cold = booleanMember(object, "cold");
+    answer.report.leaving = booleanMember(object, "leaving");
+    return answer;
+}
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibPlatform/BackendCodec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "LibBackend/AttemptFailure.h"
+#include "LibCore/Time.h"
+#include "LibPlatform/CallOutcome.h"
+#include "LibPlatform/HttpCall.h"
+
+#include <string>
+#include <variant>
+
+namespace Query
+{
+struct shard_answer;
+}
+
+namespace Platform
+{
+struct shard_call;
+
+/// Encodes one shard request for a backend server.
+[[nodiscard]] http_call encodeShardCall(const shard_call &call);
+
+/// Encodes the cancellation of a running shard request.
+[[nodiscard]] http_call encodeCancelCall(const shard_call &call);
+
+/// Decodes what came back: an answer, or how the attempt failed.
+[[nodiscard]] std::variant<Query::shard_answer, Backend::attempt_failure>
+decodeShardAnswer(const call_outcome &outcome);
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibPlatform/HttpCall.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <string>
+#include <vector>
+
+namespace Platform
+{
+/// Whether a call may use a connection that earlier calls left open.
+enum class connection_reuse {
+    Allowed,
+    Forbidden, ///< libcurl resends a request by itself when a kept connection turns out dead; this rules it out.
+};
+
+/// A request to send with the HTTP client.
+struct http_call {
+    std::string method = "GET";
+    std::string url;
+    std::vector<std::string> headers; ///< As in "X-Name: value".
+    std::string body;
+    Core::duration timeout {}; ///< Zero: none.
+    connection_reuse reuse = connection_reuse::Allowed;
+};
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibCore/Time.h"
+#include "LibPlatform/BlockingHttpClient.h"
+#include "LibPlatform/StoredObject.h"
+
+#include <optional>
+#include <string>
+
+namespace Platform
+{
+/// A client of the platform's object store. Belongs to one thread; each call waits for its answer or its timeout.
+class store_client
+{
+public:
+    /// Uses the store at `baseUrl`, as in http://127.0.0.1:9000; each call but watch() ends within `timeout`.
+    store_client(std::string baseUrl, Core::duration timeout);
+
+    /// Reads an object. Errors: NotFound, Unavailable, TimedOut.
+    [[nodiscard]] Core::result<stored_object> read(const std::string &key);
+    /// Waits until the object's tag differs from `knownTag`, at most `longest`. Returns nothing if it stays the same.
+    [[nodiscard]] Core::result<std::optional<stored_object>> watch(const std::string &key, const std::string &knownTag,
+                                                                   Core::duration longest);
+    /// Writes an object if its tag is still `expectedTag` (empty: if it does not exist) and returns the new tag.
+    /// Errors: Conflict, Unavailable, and TimedOut, after which the write may have taken effect.
+    [[nodiscard]] Core::result<std::string> write(const std::string &key, const std::string &body,
+                                                  const std::string &expectedTag);
+
+private:
+    std::string m_baseUrl;
+    Core::duration m_timeout;
+    blocking_http_client m_client;
+};
+} // namespace Platform
