LibWire: Add the first version of the package

Cause: the thin path from caller to backend servers needs it. Change: the types that other packages share, and the simplest rules behind them.

--- /dev/null
+++ b/Libraries/LibWire/Peer.capnp
@@ -0,0 +1,78 @@
+@0xd0f3a1c27b6e4a59;
+
+# The protocol between daemons.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Wire::Schema");
+
+struct MemberRecord {
+  name @0 :Text;                  # The VM's name.
+  incarnation @1 :UInt64;         # Start time of the daemon in nanoseconds; a higher one replaces a lower one.
+  heartbeat @2 :UInt64;           # Grows while the daemon lives.
+  callerAddress @3 :Text;         # Where callers connect.
+  peerAddress @4 :Text;           # Where other daemons connect.
+  dataCentre @5 :Text;
+  leaving @6 :Bool;
+  configurationNumber @7 :UInt64; # The number that the daemon has in force.
+}
+
+struct KeyedBlob {
+  # Opaque state that the decision packages merge by a join: team usage, rollout evidence, verdicts, warmth.
+  key @0 :Text;
+  value @1 :Data;
+}
+
+struct GossipMessage {
+  sender @0 :Text;
+  members @1 :List(MemberRecord);
+  configurationNumber @2 :UInt64;
+  blobs @3 :List(KeyedBlob);
+}
+
+struct BranchRequest {
+  requestId @0 :Text;
+  service @1 :Text;
+  route @2 :Text;
+  team @3 :Text;
+  snapshot @4 :Text;
+  version @5 :Text;
+  text @6 :Text;
+  traceParent @7 :Text;
+  timeRemainingMicroseconds @8 :UInt64;
+  idempotent @9 :Bool;
+  shards @10 :List(Text);
+  dataCentres @11 :List(Text);
+  configurationNumber @12 :UInt64; # The root's; a branch with a lower one may not know the snapshot yet.
+}
+
+struct ResultItem {
+  id @0 :Text;
+  score @1 :Float64;
+}
+
+struct BranchShardAnswer {
+  shard @0 :Text;
+  snapshot @1 :Text;
+  items @2 :List(ResultItem);
+}
+
+struct BranchShardFailure {
+  shard @0 :Text;
+  failure @1 :UInt8;              # Backend::attempt_failure.
+}
+
+interface BranchSink {
+  # Where a branch streams its answers while the call runs.
+  answers @0 (answers :List(BranchShardAnswer), failures :List(BranchShardFailure)) -> ();
+}
+
+struct BranchSummary {
+  shardRequests @0 :UInt32;       # Attempts sent to backend servers, for the accounts.
+}
+
+interface Peer {
+  gossip @0 (message :GossipMessage) -> (reply :GossipMessage);
+  readConfiguration @1 (aboveNumber :UInt64) -> (number :UInt64, document :Text);
+  runBranch @2 (request :BranchRequest, sink :BranchSink) -> (summary :BranchSummary);
+  resolveRequest @3 (requestId :Text) -> (state :UInt8, answer :Text);
+}
