--- /dev/null
+++ b/Libraries/LibObservability/Log.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "LibObservability/LogField.h"
+#include "LibObservability/LogLevel.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Observability
+{
+/// Starts writing records of at least `least` to standard error, one JSON object a line, each with the VM's name.
+void initializeLog(const std::string &virtualMachine, log_level least);
+
+/// Writes one record: time, level, VM, event and the given fields. `event` is a fixed lower-case name.
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+} // namespace Observability
