ragwortcrankd: Serve queries from one configuration in the store

Cause: nothing served a query. Change: Pistache entry, query workers on libcurl's multi interface, a store watcher, and conditional patches. Before: no path.

--- /dev/null
+++ b/Services/ragwortcrankd/AnswerCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "LibCore/Finding.h"
+#include "LibPlatform/HttpResponse.h"
+
+#include <string>
+#include <vector>
+
+namespace Query
+{
+struct query_result;
+}
+
+/// Encodes a query's result as the caller's answer.
+[[nodiscard]] Platform::http_response encodeResult(const Query::query_result &result);
+
+/// Encodes a refusal before any backend server was asked: the outcome is not_run.
+[[nodiscard]] Platform::http_response encodeRefusal(int status, const std::string &requestId,
+                                                    const std::string &reason);
+
+/// Encodes an error of an operator request with its findings.
+[[nodiscard]] Platform::http_response encodeError(int status, const std::string &message,
+                                                  const std::vector<Core::finding> &findings = {});
--- /dev/null
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -0,0 +1,114 @@
+#include "CallerApi.h"
+
+#include "AnswerCodec.h"
+#include "BearerKey.h"
+#include "CallerRequest.h"
+#include "DaemonState.h"
+#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibPlatform/HttpRequest.h"
+#include "LibQuery/PlanQuery.h"
+#include "LibRollout/ChooseVersion.h"
+#include "LibTeams/Authenticate.h"
+#include "QueryTask.h"
+#include "QueryWorker.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <random>
+#include <utility>
+
+namespace json = boost::json;
+
+caller_api::caller_api(daemon_state &daemon, std::vector<std::unique_ptr<query_worker>> &workers, std::uint64_t seed)
+    : m_daemon(daemon)
+    , m_workers(workers)
+    , m_random(seed)
+{
+}
+
+double caller_api::draw()
+{
+    const std::scoped_lock lock(m_randomMutex);
+    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+}
+
+std::string caller_api::makeRequestId()
+{
+    const std::scoped_lock lock(m_randomMutex);
+    return m_daemon.daemonSettings.virtualMachine + "." + std::to_string(m_random());
+}
+
+void caller_api::handleEntries(const Platform::http_request &, Platform::http_responder responder)
+{
+    const settings &own = m_daemon.daemonSettings;
+    json::array entries;
+    entries.push_back(json::object {{"address", own.listenAddress + ":" + std::to_string(own.callerPort)},
+                                    {"vm", own.virtualMachine},
+                                    {"data_centre", own.dataCentre},
+                                    {"weight", 1.0}});
+    const auto timeToLive = m_daemon.configuration.current()->tier.entryTimeToLive;
+    Platform::http_response response;
+    response.body =
+        json::serialize(json::object {{"entries", std::move(entries)}, {"time_to_live_ms", timeToLive.count()}});
+    responder.respond(response);
+}
+
+void caller_api::handleQuery(const Platform::http_request &request, Platform::http_responder responder)
+{
+    Core::result<Query::query_request> decoded = decodeCallerRequest(request);
+    const std::string requestId = decoded ? decoded.value().requestId : std::string();
+    const auto document = m_daemon.configuration.current();
+    const std::optional<std::string> team = Teams::findTeam(*document, bearerKey(request));
+    if (!team) {
+        responder.respond(encodeRefusal(401, requestId, "the team key is missing or unknown"));
+        return;
+    }
+    if (!decoded) {
+        responder.respond(encodeRefusal(400, requestId, decoded.error().message));
+        return;
+    }
+    decoded.value().team = *team;
+    if (requestId.empty()) {
+        decoded.value().requestId = makeRequestId();
+    }
+    startQuery(std::move(decoded.value()), std::move(responder));
+}
+
+static int statusOf(Core::error_code code)
+{
+    switch (code) {
+    case Core::error_code::NotFound:
+        return 404;
+    case Core::error_code::Unauthorized:
+        return 403;
+    case Core::error_code::InvalidInput:
+        return 400;
+    default:
+        return 503;
+    }
+}
+
+void caller_api::startQuery(Query::query_request request, Platform::http_responder responder)
+{
+    const auto document = m_daemon.configuration.current();
+    const auto service = document->services.find(request.service);
+    const std::string version =
+        service == document->services.end() ? "" : Rollout::chooseVersion(service->second, 0.0, draw());
+    Core::result<Query::query_plan> plan =
+        Query::planQuery(*document, request, version, std::chrono::steady_clock::now());
+    if (!plan) {
+        responder.respond(encodeRefusal(statusOf(plan.error().code), request.requestId, plan.error().message));
+        return;
+    }
+    // std::function needs a copyable target, so the responder is held by a shared pointer.
+    const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
+    query_task task;
+    task.request = std::move(request);
+    task.plan = std::move(plan.value());
+    task.done = [shared](const Query::query_result &result) {
+        shared->respond(encodeResult(result));
+    };
+    m_workers[m_nextWorker++ % m_workers.size()]->submit(std::move(task));
+}
--- /dev/null
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "LibCore/RandomEngine.h"
+#include "LibPlatform/HttpResponder.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Platform
+{
+struct http_request;
+}
+
+namespace Query
+{
+struct query_request;
+}
+
+struct daemon_state;
+class query_worker;
+
+/// Serves callers: the list of entry addresses, and queries.
+class caller_api
+{
+public:
+    caller_api(daemon_state &daemon, std::vector<std::unique_ptr<query_worker>> &workers, std::uint64_t seed);
+
+    void handleEntries(const Platform::http_request &request, Platform::http_responder responder);
+    void handleQuery(const Platform::http_request &request, Platform::http_responder responder);
+
+private:
+    void startQuery(Query::query_request request, Platform::http_responder responder);
+    std::string makeRequestId();
+    double draw();
+
+    daemon_state &m_daemon;
+    std::vector<std::unique_ptr<query_worker>> &m_workers;
+    std::atomic<std::uint64_t> m_nextWorker {0};
+    std::mutex m_randomMutex;
+    Core::random_engine m_random; ///< Guarded by m_randomMutex.
+};
--- /dev/null
+++ b/Services/ragwortcrankd/CallerRequest.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "LibCore/Result.h"
+#include "LibQuery/QueryRequest.h"
+
+namespace Platform
+{
+struct http_request;
+}
+
+/// Decodes POST /v1/query/{service}/{route}: path, headers and the JSON body with "query", "key" and "deadline_ms".
+/// The team is left empty. Errors: InvalidInput with a message that names the member.
+[[nodiscard]] Core::result<Query::query_request> decodeCallerRequest(const Platform::http_request &request);
--- /dev/null
+++ b/Services/ragwortcrankd/PatchWriter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "LibConfiguration/PatchOutcome.h"
+#include "LibConfiguration/PatchRequest.h"
+#include "LibCore/Result.h"
+#include "LibPlatform/StoreClient.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+struct daemon_state;
+
+/// Writes operators' patches to the platform's store, one at a time, on a thread of its own.
+class patch_writer
+{
+public:
+    using completion = std::function<void(Core::result<Configuration::patch_outcome>)>;
+
+    explicit patch_writer(daemon_state &daemon);
+    ~patch_writer();
+    patch_writer(const patch_writer &) = delete;
+    patch_writer &operator=(const patch_writer &) = delete;
+
+    /// Hands over a patch; from any thread. The completion runs on the writer's thread.
+    /// Errors: Unavailable if nothing was written, TimedOut if that could not be found out.
+    void submit(Configuration::patch_request request, completion done);
+    void stop();
+
+private:
+    void run();
+    Core::result<Configuration::patch_outcome> write(const Configuration::patch_request &request);
+
+    daemon_state &m_daemon;
+    Platform::store_client m_store;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::vector<std::pair<Configuration::patch_request, completion>> m_inbox; ///< Guarded by m_mutex.
+    bool m_stopping = false; ///< Guarded by m_mutex.
+    std::thread m_thread;
+};
--- /dev/null
+++ b/Services/ragwortcrankd/QueryTimer.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <cstdint>
+
+/// When a query wants to be woken.
+struct query_timer {
+    Core::time_point at;
+    std::uint64_t query = 0;
+    std::uint64_t generation = 0;
+};
--- /dev/null
+++ b/Services/ragwortcrankd/ReadSettings.cpp
@@ -0,0 +1,168 @@
+#include "ReadSettings.h"
+
+#include "Settings.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <gflags/gflags.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdlib>
+#include <limits>
+#include <string_view>
+
+DEFINE_string(vm_name, "", "name of this VM in the platform's list");
+DEFINE_string(data_centre, "", "data centre that this VM is in");
+DEFINE_string(listen_address, "127.0.0.1", "IP address that callers and other daemons connect to");
+DEFINE_int32(caller_port, 8080, "TCP port for callers and operators, 1 to 65535");
+DEFINE_int32(peer_port, 8081, "TCP port for other daemons, 1 to 65535");
+DEFINE_string(store_url, "", "base URL of the platform's store, as in http://127.0.0.1:9000");
+DEFINE_int32(http_threads, 2, "threads that serve callers, 1 to 64");
+DEFINE_int32(query_threads, 2, "threads that run queries, 1 to 64");
+DEFINE_int32(operator_key_fd, -1, "file descriptor to read the operator key from; -1: RAGWORTCRANK_OPERATOR_KEY");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+
+static constexpr std::array settingNames {"vm_name",   "data_centre",    "listen_address", "caller_port",
+                                          "peer_port", "store_url",      "http_threads",   "query_threads",
+                                          "log_level", "operator_key_fd"};
+static constexpr std::int32_t mostThreads = 64;
+
+using findings_list = std::vector<Core::finding>;
+
+static std::string environmentName(std::string_view flag)
+{
+    std::string name = "RAGWORTCRANK_";
+    for (const char character : flag) {
+        name += static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
+    }
+    return name;
+}
+
+/// Takes each setting that no flag gave from its environment variable.
+static void readEnvironment(findings_list &findings)
+{
+    for (const char *name : settingNames) {
+        const char *value = std::getenv(environmentName(name).c_str());
+        if (value == nullptr || !gflags::GetCommandLineFlagInfoOrDie(name).is_default) {
+            continue;
+        }
+        if (gflags::SetCommandLineOption(name, value).empty()) {
+            findings.push_back({environmentName(name), std::string("value \"") + value + "\" has the wrong type"});
+        }
+    }
+}
+
+static void checkRange(const char *flag, std::int32_t value, std::int32_t least, std::int32_t most,
+                       findings_list &findings)
+{
+    if (value < least || value > most) {
+        findings.push_back({std::string("--") + flag,
+                            "value " + std::to_string(value) + " must be from " + std::to_string(least) + " to "
+                                + std::to_string(most)});
+    }
+}
+
+static void checkNotEmpty(const char *flag, const std::string &value, findings_list &findings)
+{
+    if (value.empty()) {
+        findings.push_back({std::string("--") + flag, "value \"\" must not be empty"});
+    }
+}
+
+static void checkAddress(findings_list &findings)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(FLAGS_listen_address, error);
+    if (error) {
+        findings.push_back({"--listen_address", "value \"" + FLAGS_listen_address + "\" must be an IP address"});
+    }
+}
+
+static void checkStoreUrl(findings_list &findings)
+{
+    if (!FLAGS_store_url.starts_with("http://") && !FLAGS_store_url.starts_with("https://")) {
+        findings.push_back({"--store_url", "value \"" + FLAGS_store_url + "\" must start with http:// or https://"});
+    }
+}
+
+static void readLogLevel(settings &target, findings_list &findings)
+{
+    using Observability::log_level;
+    if (FLAGS_log_level == "debug") {
+        target.logLevel = log_level::Debug;
+    } else if (FLAGS_log_level == "info") {
+        target.logLevel = log_level::Info;
+    } else if (FLAGS_log_level == "warning") {
+        target.logLevel = log_level::Warning;
+    } else if (FLAGS_log_level == "error") {
+        target.logLevel = log_level::Error;
+    } else {
+        findings.push_back({"--log_level", "value \"" + FLAGS_log_level + "\" must be debug, info, warning or error"});
+    }
+}
+
+static std::string readDescriptor(int descriptor)
+{
+    std::string text;
+    std::array<char, 256> buffer {};
+    constexpr std::size_t longestKey = 4096;
+    while (text.size() < longestKey) {
+        const ssize_t count = ::read(descriptor, buffer.data(), buffer.size());
+        if (count <= 0) {
+            break;
+        }
+        text.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
+        text.pop_back();
+    }
+    return text;
+}
+
+static void readOperatorKey(settings &target, findings_list &findings)
+{
+    if (FLAGS_operator_key_fd >= 0) {
+        target.operatorKey = readDescriptor(FLAGS_operator_key_fd);
+    } else if (const char *value = std::getenv("RAGWORTCRANK_OPERATOR_KEY")) {
+        target.operatorKey = value;
+    }
+    constexpr std::size_t shortestKey = 8;
+    if (target.operatorKey.size() < shortestKey) {
+        findings.push_back(
+            {"RAGWORTCRANK_OPERATOR_KEY", "must hold at least 8 characters (or give --operator_key_fd)"});
+    }
+}
+
+void readSettings(int argc, char **argv, settings &target, findings_list &findings)
+{
+    gflags::SetUsageMessage("one daemon of the query tier\n\n"
+                            "Each flag can also be given as an environment variable: RAGWORTCRANK_ and the flag's name "
+                            "in upper case.\nThe operator key comes from RAGWORTCRANK_OPERATOR_KEY or "
+                            "--operator_key_fd, never from a flag's value.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    for (int index = 1; index < argc; ++index) {
+        findings.push_back({argv[index], "is not a flag; flags are written --name=value"});
+    }
+    readEnvironment(findings);
+    checkNotEmpty("vm_name", FLAGS_vm_name, findings);
+    checkNotEmpty("data_centre", FLAGS_data_centre, findings);
+    checkAddress(findings);
+    checkStoreUrl(findings);
+    checkRange("caller_port", FLAGS_caller_port, 1, std::numeric_limits<std::uint16_t>::max(), findings);
+    checkRange("peer_port", FLAGS_peer_port, 1, std::numeric_limits<std::uint16_t>::max(), findings);
+    checkRange("http_threads", FLAGS_http_threads, 1, mostThreads, findings);
+    checkRange("query_threads", FLAGS_query_threads, 1, mostThreads, findings);
+    readLogLevel(target, findings);
+    readOperatorKey(target, findings);
+    target.virtualMachine = FLAGS_vm_name;
+    target.dataCentre = FLAGS_data_centre;
+    target.listenAddress = FLAGS_listen_address;
+    target.callerPort = static_cast<std::uint16_t>(FLAGS_caller_port);
+    target.peerPort = static_cast<std::uint16_t>(FLAGS_peer_port);
+    target.storeUrl = FLAGS_store_url;
+    target.httpThreads = FLAGS_http_threads;
+    target.queryThreads = FLAGS_query_threads;
+}
--- /dev/null
+++ b/Services/ragwortcrankd/Settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "LibObservability/LogLevel.h"
+
+#include <cstdint>
+#include <string>
+
+/// The settings of one daemon, checked.
+struct settings {
+    std::string virtualMachine; ///< This VM's name in the platform's list.
+    std::string dataCentre;
+    std::string listenAddress; ///< IP address for callers and peers.
+    std::uint16_t callerPort = 0;
+    std::uint16_t peerPort = 0;
+    std::string storeUrl;
+    std::string operatorKey; ///< From the environment or a file descriptor; never logged.
+    int httpThreads = 2;
+    int queryThreads = 2;
+    Observability::log_level logLevel = Observability::log_level::Info;
+};
