--- /dev/null
+++ b/Tests/StandIns/BackendServer.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "LibCore/RandomEngine.h"
+#include "LibCore/Time.h"
+#include "LibPlatform/HttpResponder.h"
+#include "StandIns/BackendFaults.h"
+#include "StandIns/BackendJob.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Platform
+{
+struct http_request;
+}
+
+namespace StandIns
+{
+/// A stand-in for one replica: slots, a queue, deadlines, cancellation, cold start, and faults set by POST /faults.
+/// GET /runs tells how often each request id was run.
+class backend_server
+{
+public:
+    backend_server(std::string shard, std::uint32_t slots, std::uint64_t seed);
+    ~backend_server();
+    backend_server(const backend_server &) = delete;
+    backend_server &operator=(const backend_server &) = delete;
+
+    void handle(const Platform::http_request &request, Platform::http_responder responder);
+
+private:
+    void accept(const Platform::http_request &request, Platform::http_responder responder);
+    void cancel(const std::string &attemptId);
+    void runJobs();
+    void startJobs(Core::time_point now);
+    void finishJobs(Core::time_point now);
+    void answer(backend_job &job);
+    std::string runsText();
+
+    const std::string m_shard;
+    const std::uint32_t m_slots;
+    std::mutex m_mutex; ///< Guards all that follows.
+    std::condition_variable m_wake;
+    Core::random_engine m_random;
+    backend_faults m_faults;
+    std::string m_incarnation;
+    std::vector<backend_job> m_waiting;
+    std::vector<backend_job> m_running;
+    std::vector<backend_job> m_silent; ///< Never answered; kept so that their connections stay open.
+    std::map<std::string, std::uint64_t> m_runs;
+    std::uint64_t m_mostRunning = 0;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+} // namespace StandIns
