--- /dev/null
+++ b/Libraries/LibBackend/ShardOwners.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace Backend
+{
+/// The daemons that hold connections to the replicas of one shard.
+struct shard_owners {
+    bool own = true; ///< This daemon is one of them.
+    std::vector<std::string> peers; ///< The other owners' names, the first by rendezvous rank first.
+};
+} // namespace Backend
