LibQuery: Decide on non-idempotent requests by the daemon named in their id

Cause: a booking may run at most once, also when the caller retries through another daemon and when a VM remembers nothing. Conclusion: no write to the store and no agreement on an owner is needed for a booking.

--- /dev/null
+++ b/Libraries/LibQuery/OnceEvents.cpp
@@ -0,0 +1,122 @@
+#include "LibQuery/OnceEvents.h"
+
+#include "LibCore/Verify.h"
+#include "LibQuery/OnceRegistry.h"
+#include "LibQuery/RequestIdentityText.h"
+
+#include <optional>
+#include <utility>
+
+namespace Query
+{
+void forgetOldRequests(once_registry &registry, Core::wall_time now)
+{
+    while (!registry.forgetting.empty() && registry.forgetting.top().first <= now) {
+        const auto found = registry.entries.find(registry.forgetting.top().second);
+        // A request that still runs keeps its entry until it ends, however old its id has become.
+        if (found != registry.entries.end() && found->second.progress != once_progress::Running) {
+            registry.entries.erase(found);
+        }
+        registry.forgetting.pop();
+    }
+}
+
+static std::optional<once_decision> decisionOf(const once_registry &registry, const std::string &requestId)
+{
+    const auto found = registry.entries.find(requestId);
+    if (found == registry.entries.end()) {
+        return std::nullopt;
+    }
+    switch (found->second.progress) {
+    case once_progress::Running:
+        return once_decision::Wait;
+    case once_progress::Finished:
+        return once_decision::Replay;
+    case once_progress::Refused:
+        return once_decision::NotRun;
+    }
+    return once_decision::Unknown;
+}
+
+static bool isOwn(const once_registry &registry, const request_identity &identity)
+{
+    return identity.virtualMachine == registry.virtualMachine && identity.incarnation == registry.incarnation;
+}
+
+static void remember(once_registry &registry, const std::string &requestId, const request_identity &identity,
+                     once_progress progress)
+{
+    const Core::wall_time forgetAt = identity.madeAt + onceWindow;
+    registry.entries[requestId] = once_entry {progress, forgetAt, 0, {}};
+    registry.forgetting.emplace(forgetAt, requestId);
+}
+
+/// Checks the id's time. Within the window nothing has been forgotten, so an id that is not recorded never ran.
+static std::optional<once_decision> checkAge(const request_identity &identity, Core::wall_time now)
+{
+    if (identity.madeAt > now + onceClockTolerance) {
+        return once_decision::Malformed;
+    }
+    if (now >= identity.madeAt + onceWindow) {
+        return once_decision::Unknown;
+    }
+    return std::nullopt;
+}
+
+once_decision beginOnce(once_registry &registry, const std::string &requestId, Core::wall_time now)
+{
+    const std::optional<request_identity> identity = parseRequestIdentity(requestId);
+    if (!identity) {
+        return once_decision::Malformed;
+    }
+    if (!isOwn(registry, *identity)) {
+        return once_decision::AskNamedDaemon;
+    }
+    forgetOldRequests(registry, now);
+    if (const auto known = decisionOf(registry, requestId)) {
+        return *known;
+    }
+    if (const auto tooOld = checkAge(*identity, now)) {
+        return *tooOld;
+    }
+    if (registry.entries.size() >= registry.mostEntries) {
+        return once_decision::NotRun;
+    }
+    remember(registry, requestId, *identity, once_progress::Running);
+    return once_decision::Start;
+}
+
+once_decision resolveOnce(once_registry &registry, const std::string &requestId, Core::wall_time now)
+{
+    const std::optional<request_identity> identity = parseRequestIdentity(requestId);
+    if (!identity) {
+        return once_decision::Malformed;
+    }
+    if (!isOwn(registry, *identity)) {
+        return once_decision::Unknown; // Asked about an earlier life of this VM, which may have run it.
+    }
+    forgetOldRequests(registry, now);
+    if (const auto known = decisionOf(registry, requestId)) {
+        return *known;
+    }
+    if (const auto tooOld = checkAge(*identity, now)) {
+        return *tooOld;
+    }
+    if (registry.entries.size() >= registry.mostEntries) {
+        return once_decision::Unknown; // Without a record of the refusal a late arrival could still run.
+    }
+    remember(registry, requestId, *identity, once_progress::Refused);
+    return once_decision::NotRun;
+}
+
+void finishOnce(once_registry &registry, const std::string &requestId, int status, std::string answer)
+{
+    const auto found = registry.entries.find(requestId);
+    VERIFY(found != registry.entries.end());
+    VERIFY(found->second.progress == once_progress::Running);
+    found->second.progress = once_progress::Finished;
+    found->second.status = status;
+    found->second.answer = std::move(answer);
+    registry.forgetting.emplace(found->second.forgetAt, requestId);
+}
+} // namespace Query
