--- /dev/null
+++ b/Libraries/LibWire/BranchSummary.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Wire
+{
+/// The end of a branch.
+struct branch_summary {
+    std::uint32_t shardRequests = 0; ///< Attempts sent to backend servers, for the accounts.
+};
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/PeerNetworkOptions.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace Wire
+{
+/// The settings of a peer network.
+struct peer_network_options {
+    std::string listenAddress; ///< IP address that peers connect to.
+    std::uint16_t port = 0; ///< 0: the kernel chooses one; see peer_network::port().
+    std::chrono::milliseconds connectTimeout {500};
+    std::chrono::milliseconds callTimeout {1500}; ///< For gossip, resolve and configuration calls.
+    std::chrono::milliseconds pingPeriod {250}; ///< How often a connection with running calls is checked.
+    std::chrono::milliseconds silenceBound {1000}; ///< A connection that answers no check for so long is closed.
+};
+} // namespace Wire
