LibObservability: Add metrics, trace contexts and a span recorder

Cause: operators could not see what a daemon does. Change: counters, summaries on Boost.Accumulators with quantiles of the last minutes, Prometheus text, W3C trace contexts, and spans in OpenTracing's JSON. The accumulator's quantiles are 0 before 13 values (a test found it), so the first values are kept beside it. Conclusion: the daemon can be wired.

--- /dev/null
+++ b/Libraries/LibObservability/MetricSummary.cpp
@@ -0,0 +1,90 @@
+#include "LibObservability/MetricSummary.h"
+
+#if defined(__GNUC__) && !defined(__clang__)
+// The library leaves a member unset until its first use, which GCC 12 reports when it inlines the accumulator.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace Observability
+{
+namespace accumulators = boost::accumulators;
+
+static constexpr std::chrono::seconds windowLength {60};
+static constexpr std::array<double, 5> quantileMarkers {0.25, 0.5, 0.9, 0.99, 0.999};
+static constexpr std::size_t valuesBeforeQuantiles = 2 * quantileMarkers.size() + 3;
+
+struct metric_summary::window {
+    using accumulator = accumulators::accumulator_set<
+        double, accumulators::stats<accumulators::tag::count, accumulators::tag::extended_p_square_quantile>>;
+    accumulator seconds {accumulators::tag::extended_p_square::probabilities = quantileMarkers};
+    std::vector<double> firstSeconds; ///< The accumulator's quantiles are only valid after this many values.
+
+    void add(double value)
+    {
+        seconds(value);
+        if (firstSeconds.size() < valuesBeforeQuantiles) {
+            firstSeconds.push_back(value);
+        }
+    }
+
+    double quantile(double part)
+    {
+        if (firstSeconds.empty()) {
+            return 0.0;
+        }
+        if (firstSeconds.size() == valuesBeforeQuantiles) {
+            return accumulators::quantile(seconds, accumulators::quantile_probability = part);
+        }
+        std::sort(firstSeconds.begin(), firstSeconds.end());
+        return firstSeconds[static_cast<std::size_t>(part * static_cast<double>(firstSeconds.size()))];
+    }
+};
+
+metric_summary::metric_summary()
+    : m_current(std::make_unique<window>())
+    , m_previous(std::make_unique<window>())
+{
+}
+
+metric_summary::~metric_summary() = default;
+
+void metric_summary::turnWindows(Core::time_point now)
+{
+    if (now - m_windowStart < windowLength) {
+        return;
+    }
+    const bool adjacent = now - m_windowStart < 2 * windowLength;
+    m_previous = adjacent ? std::move(m_current) : std::make_unique<window>();
+    m_current = std::make_unique<window>();
+    m_windowStart = now;
+}
+
+void metric_summary::add(Core::duration value, Core::time_point now)
+{
+    const double seconds = Core::toSeconds(value);
+    const std::scoped_lock lock(m_mutex);
+    turnWindows(now);
+    m_current->add(seconds);
+    ++m_count;
+    m_sumSeconds += seconds;
+}
+
+summary_values metric_summary::values(Core::time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    turnWindows(now);
+    const bool currentIsFuller = accumulators::count(m_current->seconds) >= accumulators::count(m_previous->seconds);
+    window &chosen = currentIsFuller ? *m_current : *m_previous;
+    return {m_count, m_sumSeconds, chosen.quantile(0.5), chosen.quantile(0.99)};
+}
+} // namespace Observability
--- /dev/null
+++ b/Libraries/LibObservability/MetricsRegistry.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibObservability/MetricCounter.h"
+#include "LibObservability/MetricLabel.h"
+#include "LibObservability/MetricSummary.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Observability
+{
+/// All metrics of a process. Metrics live as long as the registry, so callers look them up once and keep references.
+class metrics_registry
+{
+public:
+    using labels = std::vector<metric_label>;
+
+    /// Returns the counter of this name and these labels, a new one at first. `help` is one sentence.
+    metric_counter &counter(const std::string &name, const std::string &help, const labels &labelled = {});
+    /// Returns the summary of this name and these labels, a new one at first.
+    metric_summary &summary(const std::string &name, const std::string &help, const labels &labelled = {});
+    /// Registers a value that is read anew for each report.
+    void gauge(const std::string &name, const std::string &help, std::function<double()> read);
+
+    /// Writes all metrics in Prometheus' text format.
+    [[nodiscard]] std::string toText(Core::time_point now);
+
+private:
+    template<typename Metric> struct family {
+        std::string help;
+        std::map<labels, std::unique_ptr<Metric>> members;
+    };
+    struct gauge_entry {
+        std::string help;
+        std::function<double()> read;
+    };
+
+    std::mutex m_mutex; ///< Guards all that follows, not the metrics themselves.
+    std::map<std::string, family<metric_counter>> m_counters;
+    std::map<std::string, family<metric_summary>> m_summaries;
+    std::map<std::string, gauge_entry> m_gauges;
+};
+} // namespace Observability
--- /dev/null
+++ b/Libraries/LibObservability/TraceContext.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Observability
+{
+/// Whether the spans of a trace are recorded.
+enum class trace_sampling {
+    NotSampled,
+    Sampled,
+};
+
+/// A position in a trace, as carried by the W3C traceparent header.
+struct trace_context {
+    std::string traceId; ///< 32 lower-case hexadecimal digits, not all zero.
+    std::uint64_t spanId = 0; ///< The span that further spans hang under; not 0.
+    trace_sampling sampling = trace_sampling::NotSampled;
+};
+} // namespace Observability
--- /dev/null
+++ b/Libraries/LibObservability/TraceRecorder.cpp
@@ -0,0 +1,78 @@
+#include "LibObservability/TraceRecorder.h"
+
+#include <opentracing/mocktracer/json.h>
+#include <opentracing/mocktracer/recorder.h>
+
+#include <charconv>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace Observability
+{
+using opentracing::mocktracer::SpanData;
+
+trace_recorder::trace_recorder(std::size_t mostSpans)
+    : m_mostSpans(mostSpans)
+{
+}
+
+void trace_recorder::record(finished_span span)
+{
+    if (span.context.sampling != trace_sampling::Sampled) {
+        return;
+    }
+    const std::scoped_lock lock(m_mutex);
+    m_spans.push_back(std::move(span));
+    if (m_spans.size() > m_mostSpans) {
+        m_spans.pop_front();
+    }
+}
+
+/// OpenTracing's record has 64 bits for the trace; the whole id goes into a tag beside it.
+static std::uint64_t lowHalf(const std::string &traceId)
+{
+    constexpr std::size_t halfDigits = 16;
+    constexpr int hexadecimal = 16;
+    std::uint64_t value = 0;
+    if (traceId.size() >= halfDigits) {
+        const char *end = traceId.data() + traceId.size();
+        std::from_chars(end - halfDigits, end, value, hexadecimal);
+    }
+    return value;
+}
+
+static SpanData convert(const finished_span &span)
+{
+    SpanData data;
+    data.span_context.trace_id = lowHalf(span.context.traceId);
+    data.span_context.span_id = span.context.spanId;
+    if (span.parentSpanId != 0) {
+        data.references.push_back(
+            {opentracing::SpanReferenceType::ChildOfRef, data.span_context.trace_id, span.parentSpanId});
+    }
+    data.operation_name = span.name;
+    data.start_timestamp = span.startedAt;
+    data.duration = span.duration;
+    data.tags["trace_id"] = span.context.traceId;
+    for (const span_tag &tag : span.tags) {
+        data.tags[tag.name] = tag.value;
+    }
+    return data;
+}
+
+std::string trace_recorder::toJson() const
+{
+    std::vector<SpanData> converted;
+    {
+        const std::scoped_lock lock(m_mutex);
+        converted.reserve(m_spans.size());
+        for (const finished_span &span : m_spans) {
+            converted.push_back(convert(span));
+        }
+    }
+    std::ostringstream text;
+    opentracing::mocktracer::ToJson(text, converted);
+    return text.str();
+}
+} // namespace Observability
