LibBackend: Hold cold replicas to their bound and learn from refusals

Cause: the first version knew no cold start, no ownership, forgot replicas badly and lost the report of a refusal.

--- /dev/null
+++ b/Libraries/LibBackend/NameHash.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace Backend
+{
+/// Hashes names so that maps keyed by std::string are searched by a view, without a copy.
+struct name_hash {
+    using is_transparent = void;
+    [[nodiscard]] std::size_t operator()(std::string_view name) const
+    {
+        return std::hash<std::string_view> {}(name);
+    }
+};
+} // namespace Backend
--- a/Libraries/LibBackend/ReplicaChoice.cpp
+++ b/Libraries/LibBackend/ReplicaChoice.cpp
@@ -1,13 +1,25 @@
 #include "LibBackend/ReplicaChoice.h"
 
+#include "LibBackend/Ownership.h"
 #include "LibBackend/ReplicaFilter.h"
 #include "LibBackend/ServiceState.h"
+#include "LibBackend/ShardAvailability.h"
+#include "LibBackend/Warmth.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace Backend
 {
+/// How fast knowledge of a replica that is not being asked loses its weight.
+static constexpr double latencyHalfLifeSeconds = 2.0;
+static constexpr double hintHalfLifeSeconds = 0.1;
+/// Hints are the same for all daemons, so a hint must not weigh as much as requests that are known to run.
+static constexpr double hintWeight = 0.5;
+static constexpr double mostHintedLoad = 4.0;
+static constexpr std::uint32_t queueDepth = 4;
+
 static bool mayServe(const replica_state &replica, const replica_filter &filter)
 {
     if (replica.removed || replica.dataCentreOut || replica.reportedLeaving || replica.settings.leaving) {
@@ -22,12 +34,50 @@
     return filter.dataCentres->contains(replica.settings.dataCentre);
 }
 
-static double expectedWait(const replica_state &replica, Core::time_point now)
+static bool isExcluded(const replica_filter &filter, std::size_t index)
+{
+    return std::find(filter.exclude.begin(), filter.exclude.end(), index) != filter.exclude.end();
+}
+
+static bool hasQueueRoom(const service_state &service, const replica_state &replica)
+{
+    const std::uint32_t atOnce = std::max(service.slotsPerReplica, service.connectionsPerReplica);
+    return replica.inFlight < atOnce * queueDepth;
+}
+
+static double fade(Core::duration age, double halfLifeSeconds)
+{
+    return std::exp2(-std::max(Core::toSeconds(age), 0.0) / halfLifeSeconds);
+}
+
+/// The expected latency. An old estimate returns to the service's mean, so that a replica that was slow once is tried
+/// again.
+static double expectedLatency(const service_state &service, const replica_state &replica, Core::time_point now)
 {
-    constexpr double avoidancePenaltySeconds = 10.0;
+    constexpr double leastLatencySeconds = 1e-4;
+    const double usual = std::max(service.warmLatencySeconds, leastLatencySeconds);
+    if (replica.smoothedLatencySeconds == 0.0) {
+        return usual;
+    }
+    const double weight = fade(now - replica.answeredAt, latencyHalfLifeSeconds);
+    return std::max(usual + (replica.smoothedLatencySeconds - usual) * weight, leastLatencySeconds);
+}
+
+static double hintedLoad(const replica_state &replica, Core::time_point now)
+{
+    if (!replica.hint) {
+        return 0.0;
+    }
+    const double load = std::clamp(replica.hint->load, 0.0, mostHintedLoad);
+    return hintWeight * load * fade(now - replica.hint->receivedAt, hintHalfLifeSeconds);
+}
+
+static double expectedWait(const service_state &service, const replica_state &replica, Core::time_point now)
+{
+    constexpr double avoidancePenaltySeconds = 1e3;
     const double penalty = now < replica.avoidUntil ? avoidancePenaltySeconds : 0.0;
-    const double latency = std::max(replica.smoothedLatencySeconds, 1e-4);
-    return penalty + latency * (1.0 + replica.inFlight);
+    const double own = static_cast<double>(replica.inFlight) / service.slotsPerReplica;
+    return penalty + expectedLatency(service, replica, now) * (1.0 + own + hintedLoad(replica, now));
 }
 
 std::optional<std::size_t> chooseReplica(const service_state &service, const replica_filter &filter,
@@ -39,16 +89,15 @@
     }
     std::optional<std::size_t> best;
     double bestScore = std::numeric_limits<double>::infinity();
-    std::uniform_real_distribution<double> jitter(0.9, 1.1);
+    // Daemons that see the same figures must not all take the same replica.
+    std::uniform_real_distribution<double> jitter(0.8, 1.2);
     for (const std::size_t index : found->second) {
         const replica_state &replica = service.replicas[index];
-        if (!mayServe(replica, filter)) {
-            continue;
-        }
-        if (std::find(filter.exclude.begin(), filter.exclude.end(), index) != filter.exclude.end()) {
+        if (!mayServe(replica, filter) || isExcluded(filter, index) || !hasQueueRoom(service, replica)
+            || !hasColdRoom(service, replica, now)) {
             continue;
         }
-        const double score = expectedWait(replica, now) * jitter(random);
+        const double score = expectedWait(service, replica, now) * jitter(random);
         if (score < bestScore) {
             bestScore = score;
             best = index;
@@ -56,4 +105,43 @@
     }
     return best;
 }
+
+static shard_availability availabilityOfOne(const service_state &service, const replica_state &replica,
+                                            Core::time_point now)
+{
+    if (hasColdRoom(service, replica, now)) {
+        return {hasQueueRoom(service, replica) ? availability::Available : availability::Busy, {}};
+    }
+    if (!service.ownershipKnown || mayWarm(service, replica, now)) {
+        return {availability::Busy, {}};
+    }
+    if (replica.warmerRank == 0) {
+        return {availability::ColdWaiting, {}};
+    }
+    if (replica.warmer.empty()) {
+        return {availability::Unserved, {}};
+    }
+    return {availability::ColdElsewhere, replica.warmer};
+}
+
+shard_availability availabilityOf(const service_state &service, const replica_filter &filter, Core::time_point now)
+{
+    shard_availability best;
+    const auto found = service.byShard.find(filter.shard);
+    if (found == service.byShard.end()) {
+        return best;
+    }
+    for (const std::size_t index : found->second) {
+        const replica_state &replica = service.replicas[index];
+        if (!mayServe(replica, filter) || isExcluded(filter, index)) {
+            continue;
+        }
+        // The states are listed from the best to the worst.
+        shard_availability candidate = availabilityOfOne(service, replica, now);
+        if (candidate.state < best.state) {
+            best = std::move(candidate);
+        }
+    }
+    return best;
+}
 } // namespace Backend
--- a/Libraries/LibBackend/ReplicaChoice.h
+++ b/Libraries/LibBackend/ReplicaChoice.h
@@ -10,8 +10,14 @@
 {
 struct replica_filter;
 struct service_state;
+struct shard_availability;
 
-/// Chooses the replica that a request should be sent to, or nothing if none may take it now.
+/// Chooses the replica that a request should be sent to, or nothing if none may take it now. The caller learns why from
+/// availabilityOf.
 [[nodiscard]] std::optional<std::size_t> chooseReplica(const service_state &service, const replica_filter &filter,
                                                        Core::time_point now, Core::random_engine &random);
+
+/// Tells whether a request can be sent from this daemon, and if not, why and where else.
+[[nodiscard]] shard_availability availabilityOf(const service_state &service, const replica_filter &filter,
+                                                Core::time_point now);
 } // namespace Backend
--- a/Libraries/LibBackend/ReplicaEvents.cpp
+++ b/Libraries/LibBackend/ReplicaEvents.cpp
@@ -1,89 +1,83 @@
 #include "LibBackend/ReplicaEvents.h"
 
-#include "LibBackend/AttemptFailure.h"
+#include "LibBackend/FailedAttempt.h"
 #include "LibBackend/ReplicaReport.h"
 #include "LibBackend/ServiceState.h"
-#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibBackend/Warmth.h"
 #include "LibCore/Verify.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Backend
 {
 static constexpr double latencyWeight = 0.1;
+/// The weight of one answer in the mean over the whole service.
+static constexpr double serviceLatencyWeight = 0.01;
+/// How much of the decaying maximum one answer takes away, for a replica and for the whole service.
+static constexpr double replicaMaximumDecay = 0.01;
+static constexpr double serviceMaximumDecay = 0.001;
 static constexpr std::chrono::milliseconds firstAvoidance {200};
 static constexpr std::uint32_t mostDoublings = 5;
 
-static bool isDataCentreOut(const Configuration::configuration_document &document, const std::string &dataCentre)
+void recordSent(service_state &service, std::size_t replica, Core::time_point)
 {
-    const auto found = document.dataCentres.find(dataCentre);
-    return found == document.dataCentres.end() || found->second.out;
+    ++service.replicas[replica].inFlight;
 }
 
-static std::size_t findOrAdd(service_state &service, const std::string &name)
+static replica_state &endRequest(service_state &service, std::size_t index)
 {
-    for (std::size_t index = 0; index < service.replicas.size(); ++index) {
-        if (service.replicas[index].name == name) {
-            return index;
-        }
-    }
-    replica_state added;
-    added.name = name;
-    service.replicas.push_back(std::move(added));
-    return service.replicas.size() - 1;
+    replica_state &replica = service.replicas[index];
+    VERIFY(replica.inFlight > 0);
+    --replica.inFlight;
+    return replica;
 }
 
-void applyConfiguration(service_state &service, const Configuration::configuration_document &document,
-                        const Configuration::service_settings &settings, Core::time_point)
+static void smooth(double &mean, double value, double weight)
 {
-    service.slotsPerReplica = settings.slotsPerReplica;
-    service.byShard.clear();
-    for (replica_state &replica : service.replicas) {
-        replica.removed = true;
-    }
-    for (const auto &[name, replicaSettings] : settings.replicas) {
-        const std::size_t index = findOrAdd(service, name);
-        replica_state &replica = service.replicas[index];
-        replica.settings = replicaSettings;
-        replica.removed = false;
-        replica.dataCentreOut = isDataCentreOut(document, replicaSettings.dataCentre);
-        service.byShard[replicaSettings.shard].push_back(index);
-    }
+    mean = mean == 0.0 ? value : mean * (1.0 - weight) + value * weight;
 }
 
-void recordSent(service_state &service, std::size_t replica, Core::time_point)
+static void followMaximum(double &maximum, double value, double decay)
 {
-    ++service.replicas[replica].inFlight;
+    maximum = std::max(value, maximum * (1.0 - decay));
 }
 
-static replica_state &endRequest(service_state &service, std::size_t index)
+static void recordLatency(service_state &service, replica_state &replica, Core::duration latency)
 {
-    replica_state &replica = service.replicas[index];
-    VERIFY(replica.inFlight > 0);
-    --replica.inFlight;
-    return replica;
+    const double seconds = Core::toSeconds(latency);
+    smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
+    followMaximum(replica.slowestRecentSeconds, seconds, replicaMaximumDecay);
+    followMaximum(service.slowestRecentSeconds, seconds, serviceMaximumDecay);
+    if (replica.warmth.level >= warmestLevel) {
+        smooth(service.warmLatencySeconds, seconds, serviceLatencyWeight);
+    }
 }
 
 void recordAnswer(service_state &service, std::size_t index, const replica_report &report, Core::duration latency,
                   Core::time_point now)
 {
     replica_state &replica = endRequest(service, index);
-    const double seconds = Core::toSeconds(latency);
-    const bool first = replica.smoothedLatencySeconds == 0.0;
-    replica.smoothedLatencySeconds =
-        first ? seconds : replica.smoothedLatencySeconds * (1.0 - latencyWeight) + seconds * latencyWeight;
-    replica.incarnation = report.incarnation;
-    replica.reportedLeaving = report.leaving;
+    observeReport(replica, report, now);
+    if (!report.cold) {
+        observeWarmAnswer(service, replica, latency, now);
+    }
+    recordLatency(service, replica, latency);
+    replica.answeredAt = now;
     replica.hint = load_hint {report.load, now};
     replica.consecutiveFailures = 0;
+    replica.consecutiveSilences = 0;
     replica.avoidUntil = {};
 }
 
-void recordFailure(service_state &service, std::size_t index, attempt_failure failure, Core::time_point now)
+void recordFailure(service_state &service, std::size_t index, const failed_attempt &failed, Core::time_point now)
 {
     replica_state &replica = endRequest(service, index);
-    if (failure == attempt_failure::Silent) {
+    if (failed.report) {
+        observeReport(replica, *failed.report, now);
+    }
+    if (failed.failure == attempt_failure::Silent) {
+        replica.silentAt = now;
+        ++replica.consecutiveSilences;
         return;
     }
     replica.avoidUntil = now + firstAvoidance * (1U << std::min(replica.consecutiveFailures, mostDoublings));
--- a/Libraries/LibBackend/ReplicaEvents.h
+++ b/Libraries/LibBackend/ReplicaEvents.h
@@ -12,9 +12,9 @@
 
 namespace Backend
 {
+struct failed_attempt;
 struct replica_report;
 struct service_state;
-enum class attempt_failure;
 
 /// Brings the replica list in line with a newer configuration; what is known of kept replicas stays.
 void applyConfiguration(service_state &service, const Configuration::configuration_document &document,
@@ -27,8 +27,8 @@
 void recordAnswer(service_state &service, std::size_t replica, const replica_report &report, Core::duration latency,
                   Core::time_point now);
 
-/// Records a request that ended without an answer.
-void recordFailure(service_state &service, std::size_t replica, attempt_failure failure, Core::time_point now);
+/// Records a request that ended without an answer. A silence is the connection's fault, and the replica is not avoided.
+void recordFailure(service_state &service, std::size_t replica, const failed_attempt &failed, Core::time_point now);
 
 /// Records a request that this daemon cancelled because another replica answered first.
 void recordCancelled(service_state &service, std::size_t replica, Core::time_point now);
--- a/Libraries/LibBackend/ReplicaState.h
+++ b/Libraries/LibBackend/ReplicaState.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "LibBackend/LoadHint.h"
+#include "LibBackend/WarmthRecord.h"
 #include "LibConfiguration/ReplicaSettings.h"
 #include "LibCore/Time.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -17,11 +19,24 @@
     bool dataCentreOut = false; ///< The configuration has taken the replica's data centre out of service.
     bool reportedLeaving = false; ///< The replica itself said that it takes no new work.
     bool removed = false; ///< No longer in the configuration; kept while requests run so that indices stay valid.
-    std::string incarnation; ///< The last one reported; empty: never heard.
     std::uint32_t inFlight = 0; ///< Requests of this daemon that the replica may be running.
     double smoothedLatencySeconds = 0.0; ///< Exponentially weighted mean; 0: no answer yet.
+    double slowestRecentSeconds = 0.0; ///< Decaying maximum of the latencies of whole answers.
+    Core::time_point answeredAt; ///< The last whole answer.
     std::optional<load_hint> hint;
     std::uint32_t consecutiveFailures = 0;
     Core::time_point avoidUntil; ///< Chosen only if no other replica can serve, until then.
+
+    warmth_record warmth; ///< Its incarnation is the last one heard.
+    std::uint32_t warmAnswers = 0; ///< Evidence of warmth since the level last changed.
+    Core::time_point warmthChangedAt; ///< By own evidence or by a peer's record.
+
+    static constexpr std::uint32_t noRank = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t warmerRank = noRank; ///< This daemon's place in the view; 0: it warms the replica.
+    Core::time_point warmerSince; ///< Since when this daemon has had place 0 without a break.
+    std::string warmer; ///< The daemon with place 0; empty: unknown.
+
+    std::uint32_t consecutiveSilences = 0;
+    std::optional<Core::time_point> silentAt; ///< The last silence of a connection to the replica.
 };
 } // namespace Backend
--- a/Libraries/LibPlatform/BackendCodec.cpp
+++ b/Libraries/LibPlatform/BackendCodec.cpp
@@ -72,6 +72,16 @@
     return true;
 }
 
+static Backend::replica_report decodeReport(const json::object &object)
+{
+    Backend::replica_report report;
+    report.incarnation = stringMember(object, "incarnation");
+    report.load = numberMember(object, "load");
+    report.cold = booleanMember(object, "cold");
+    report.leaving = booleanMember(object, "leaving");
+    return report;
+}
+
 static Backend::attempt_failure convertFailure(call_failure failure)
 {
     switch (failure) {
@@ -86,34 +96,31 @@
     return Backend::attempt_failure::ConnectionLost;
 }
 
-std::variant<Query::shard_answer, Backend::attempt_failure> decodeShardAnswer(const call_outcome &outcome)
+std::variant<Query::shard_answer, Backend::failed_attempt> decodeShardAnswer(const call_outcome &outcome)
 {
     if (outcome.failure != call_failure::None) {
-        return convertFailure(outcome.failure);
+        return Backend::failed_attempt(convertFailure(outcome.failure));
     }
     boost::system::error_code error;
     const json::value value = json::parse(outcome.response.body, error);
     if (error || !value.is_object()) {
-        return Backend::attempt_failure::Faulty;
+        return Backend::failed_attempt(Backend::attempt_failure::Faulty);
     }
     const json::object &object = value.get_object();
     if (booleanMember(object, "snapshot_gone")) {
-        return Backend::attempt_failure::SnapshotGone;
+        return Backend::failed_attempt(Backend::attempt_failure::SnapshotGone, decodeReport(object));
     }
     if (booleanMember(object, "not_run")) {
-        return Backend::attempt_failure::NotRun;
+        return Backend::failed_attempt(Backend::attempt_failure::NotRun, decodeReport(object));
     }
     Query::shard_answer answer;
     if (outcome.response.status != 200 || !decodeItems(object, answer.items)) {
-        return Backend::attempt_failure::Faulty;
+        return Backend::failed_attempt(Backend::attempt_failure::Faulty);
     }
     answer.requestId = stringMember(object, "request_id");
     answer.snapshot = stringMember(object, "snapshot");
     answer.shard = stringMember(object, "shard");
-    answer.report.incarnation = stringMember(object, "incarnation");
-    answer.report.load = numberMember(object, "load");
-    answer.report.cold = booleanMember(object, "cold");
-    answer.report.leaving = booleanMember(object, "leaving");
+    answer.report = decodeReport(object);
     return answer;
 }
 } // namespace Platform
--- a/Libraries/LibPlatform/BackendCodec.h
+++ b/Libraries/LibPlatform/BackendCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibBackend/AttemptFailure.h"
+#include "LibBackend/FailedAttempt.h"
 #include "LibCore/Time.h"
 #include "LibPlatform/CallOutcome.h"
 #include "LibPlatform/HttpCall.h"
@@ -23,7 +23,6 @@
 /// Encodes the cancellation of a running shard request.
 [[nodiscard]] http_call encodeCancelCall(const shard_call &call);
 
-/// Decodes what came back: an answer, or how the attempt failed.
-[[nodiscard]] std::variant<Query::shard_answer, Backend::attempt_failure>
-decodeShardAnswer(const call_outcome &outcome);
+/// Decodes what came back: an answer, or how the attempt failed with what a refusing replica said of itself.
+[[nodiscard]] std::variant<Query::shard_answer, Backend::failed_attempt> decodeShardAnswer(const call_outcome &outcome);
 } // namespace Platform
--- a/Libraries/LibPlatform/HttpCall.h
+++ b/Libraries/LibPlatform/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,5 +22,6 @@
     std::string body;
     Core::duration timeout {}; ///< Zero: none.
     connection_reuse reuse = connection_reuse::Allowed;
+    std::optional<Core::duration> oldestConnection; ///< Kept connections opened longer ago are closed, not reused.
 };
 } // namespace Platform
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -142,6 +142,17 @@
     curl_multi_cleanup(m_implementation->multi);
 }
 
+/// Rules out connections that were opened too long ago. libcurl compares ages in whole seconds, rounded down.
+static void limitConnectionAge(CURL *easy, Core::duration oldest)
+{
+    const auto limit = std::chrono::floor<std::chrono::seconds>(oldest) - std::chrono::seconds(1);
+    if (limit < std::chrono::seconds(1)) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, static_cast<long>(limit.count()));
+}
+
 static void configure(transfer &started, const http_call &call)
 {
     CURL *easy = started.easy;
@@ -160,6 +171,9 @@
         const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(call.timeout);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(rounded.count()));
     }
+    if (call.oldestConnection) {
+        limitConnectionAge(easy, *call.oldestConnection);
+    }
     if (call.reuse == connection_reuse::Forbidden) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
--- a/Libraries/LibQuery/QueryEvents.cpp
+++ b/Libraries/LibQuery/QueryEvents.cpp
@@ -173,7 +173,7 @@
 }
 
 query_effects onFailure(query_state &query, Backend::service_state &service, std::uint64_t attempt,
-                        Backend::attempt_failure failure, Core::time_point now, Core::random_engine &random)
+                        const Backend::failed_attempt &failed, Core::time_point now, Core::random_engine &random)
 {
     query_effects effects;
     attempt_state ended;
@@ -181,8 +181,8 @@
     if (query.finished || !shardIndex) {
         return effects;
     }
-    Backend::recordFailure(service, ended.target.replica, failure, now);
-    endAttempt(query, service, *shardIndex, failure, effects, now, random);
+    Backend::recordFailure(service, ended.target.replica, failed, now);
+    endAttempt(query, service, *shardIndex, failed.failure, effects, now, random);
     return effects;
 }
 
--- a/Libraries/LibQuery/QueryEvents.h
+++ b/Libraries/LibQuery/QueryEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBackend/FailedAttempt.h"
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Time.h"
 #include "LibQuery/QueryEffects.h"
@@ -10,8 +11,7 @@
 namespace Backend
 {
 struct service_state;
-enum class attempt_failure;
-} // namespace Backend
+}
 
 namespace Query
 {
@@ -27,7 +27,7 @@
 
 /// Takes the end of an attempt without an answer; retries where that is safe.
 [[nodiscard]] query_effects onFailure(query_state &query, Backend::service_state &service, std::uint64_t attempt,
-                                      Backend::attempt_failure failure, Core::time_point now,
+                                      const Backend::failed_attempt &failed, Core::time_point now,
                                       Core::random_engine &random);
 
 /// Sends hedges that are due and ends the query at its deadline.
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -1,6 +1,7 @@
 #include "QueryWorker.h"
 
 #include "DaemonState.h"
+#include "LibBackend/SilenceBound.h"
 #include "LibPlatform/BackendCodec.h"
 #include "LibPlatform/CallOutcome.h"
 #include "LibPlatform/HttpCall.h"
@@ -152,13 +153,17 @@
 void query_worker::send(std::uint64_t query, running_query &running, const Query::send_attempt &attempt)
 {
     std::string address;
+    std::optional<Core::duration> oldestConnection;
     {
         const std::scoped_lock lock(running.service->mutex);
-        address = running.service->state.replicas[attempt.target.replica].settings.address;
+        const Backend::replica_state &replica = running.service->state.replicas[attempt.target.replica];
+        address = replica.settings.address;
+        oldestConnection = Backend::oldestUsableConnection(replica, std::chrono::steady_clock::now());
     }
     running.addresses[attempt.attempt] = address;
     Platform::http_call call = Platform::encodeShardCall(makeCall(running, attempt, std::move(address)));
     call.timeout = std::min<Core::duration>(attempt.timeRemaining, attempt.silentAt - std::chrono::steady_clock::now());
+    call.oldestConnection = oldestConnection;
     const std::uint64_t number = attempt.attempt;
     running.calls[number] =
         m_client.start(std::move(call), [this, query, number](const Platform::call_outcome &outcome) {
@@ -189,7 +194,7 @@
     Backend::service_state &service = running.service->state;
     Query::query_effects effects = std::holds_alternative<Query::shard_answer>(decoded)
         ? Query::onAnswer(running.state, service, attempt, std::get<Query::shard_answer>(decoded), now, m_random)
-        : Query::onFailure(running.state, service, attempt, std::get<Backend::attempt_failure>(decoded), now, m_random);
+        : Query::onFailure(running.state, service, attempt, std::get<Backend::failed_attempt>(decoded), now, m_random);
     lock.unlock();
     carryOut(query, std::move(effects));
 }
