Benchmarks: Start the driver's daemons with their peers' records of warmth

Cause: a daemon now takes replicas that it never heard of as cold, which would put a cold start into every scenario. Change: each driven daemon imports the records that peers of a long-running tier would send. Conclusion: scenarios start in the steady state; the cold start scenarios set their own.

--- a/Benchmarks/Policy/QueryDriver.cpp
+++ b/Benchmarks/Policy/QueryDriver.cpp
@@ -2,6 +2,7 @@
 
 #include "LibBackend/AttemptFailure.h"
 #include "LibBackend/ReplicaEvents.h"
+#include "LibBackend/Warmth.h"
 #include "LibQuery/QueryEvents.h"
 
 #include <random>
@@ -9,6 +10,16 @@
 
 namespace Bench
 {
+/// Gives a daemon the records that it would get from its peers in a tier that has been running for long.
+static void learnWarmth(Backend::service_state &service, Core::time_point now)
+{
+    std::vector<Backend::warmth_record> records;
+    for (const Backend::replica_state &replica : service.replicas) {
+        records.push_back({replica.name, 0, 0, "1", Backend::warmestLevel});
+    }
+    Backend::importWarmth(service, records, now);
+}
+
 query_driver::query_driver(const Configuration::configuration_document &document, driver_settings settings,
                            const fake_replica_settings &replicaSettings)
     : m_settings(settings)
@@ -20,6 +31,9 @@
         m_replicas[name] = std::make_unique<fake_replica>(events, replica.shard, replicaSettings, ++seed);
     }
     apply(document);
+    for (Backend::service_state &service : m_services) {
+        learnWarmth(service, events.now());
+    }
 }
 
 void query_driver::apply(const Configuration::configuration_document &document)
@@ -83,6 +97,7 @@
     if (!m_settings.remembersReplicas) {
         query.ownService = std::make_unique<Backend::service_state>();
         Backend::applyConfiguration(*query.ownService, m_document, m_document.services.at("search"), events.now());
+        learnWarmth(*query.ownService, events.now());
     }
     firstRequests += query.state.plan.shards.size();
     carryOut(number, Query::startQuery(query.state, serviceOf(query), events.now(), m_random));
