--- a/Libraries/LibBackend/WarmthRecord.h
+++ b/Libraries/LibBackend/WarmthRecord.h
@@ -14,6 +14,7 @@
     std::uint64_t generation = 0; ///< Grows each time a daemon sees that the replica has turned cold again.
     std::string incarnation; ///< Empty: nobody has heard from the replica.
     std::uint32_t level = 0; ///< 0: cold; each step lets more daemons in; warmestLevel: no limit.
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter reports the defaulted comparison falsely.
     auto operator<=>(const warmth_record &) const = default;
 };
 
