LibPlatform: Write named headers and keep callers' connections open

Cause: a second patch was refused with 503 and curl -i showed no ETag: Pistache 0.0.5 writes only typed headers, so what addRaw() takes never reaches the wire; it also answers 'Connection: Close' to each HTTP/1.1 caller without a Connection header, and adding a header does not replace one. Change: a header type with a name of its own, and keep-alive by HTTP/1.1's rules. Before: no ETag, conditional writes always failed, each request on a new connection. Ruled out: libcurl's header parsing.

--- a/Libraries/LibPlatform/HttpServer.cpp
+++ b/Libraries/LibPlatform/HttpServer.cpp
@@ -17,21 +17,62 @@
 {
 namespace
 {
+/// A header with any name. Pistache writes only typed headers: what addRaw() takes never reaches the wire.
+class named_header final : public Pistache::Http::Header::Header
+{
+public:
+    named_header(std::string headerName, std::string value)
+        : m_name(std::move(headerName))
+        , m_value(std::move(value))
+    {
+    }
+
+    const char *name() const override
+    {
+        return m_name.c_str();
+    }
+
+    void write(std::ostream &stream) const override
+    {
+        stream << m_value;
+    }
+
+    std::uint64_t hash() const override
+    {
+        return std::hash<std::string>()(m_name);
+    }
+
+private:
+    std::string m_name;
+    std::string m_value;
+};
+
 class pistache_connection final : public http_responder::connection
 {
 public:
-    explicit pistache_connection(Pistache::Http::ResponseWriter writer)
+    enum class persistence {
+        KeepOpen,
+        CloseAfterAnswer,
+    };
+
+    pistache_connection(Pistache::Http::ResponseWriter writer, persistence kept)
         : m_writer(std::move(writer))
+        , m_persistence(kept)
     {
     }
 
     void send(const http_response &response) override
     {
         try {
+            Pistache::Http::Header::Collection &headers = m_writer.headers();
             for (const auto &[name, value] : response.headers) {
-                m_writer.headers().addRaw(Pistache::Http::Header::Raw(name, value));
+                headers.add(std::make_shared<named_header>(name, value));
+            }
+            headers.add(std::make_shared<named_header>("Content-Type", response.contentType));
+            if (m_persistence == persistence::KeepOpen) {
+                headers.remove<Pistache::Http::Header::Connection>(); // Adding does not replace.
+                headers.add<Pistache::Http::Header::Connection>(Pistache::Http::ConnectionControl::KeepAlive);
             }
-            m_writer.headers().addRaw(Pistache::Http::Header::Raw("Content-Type", response.contentType));
             m_writer.send(static_cast<Pistache::Http::Code>(response.status), response.body);
         } catch (const std::exception &) {
             // Pistache throws when the caller has closed its connection. There is nobody left to tell.
@@ -41,8 +82,20 @@
 
 private:
     Pistache::Http::ResponseWriter m_writer;
+    persistence m_persistence;
 };
 
+/// HTTP/1.1 connections stay open unless the caller asks otherwise. Pistache by itself announces "Connection: Close"
+/// to every caller that sends no Connection header, which costs each of them a new connection for every request.
+pistache_connection::persistence persistenceOf(const Pistache::Http::Request &request)
+{
+    using persistence = pistache_connection::persistence;
+    const auto header = request.headers().tryGet<Pistache::Http::Header::Connection>();
+    const bool keep = header == nullptr ? request.version() == Pistache::Http::Version::Http11
+                                        : header->control() == Pistache::Http::ConnectionControl::KeepAlive;
+    return keep ? persistence::KeepOpen : persistence::CloseAfterAnswer;
+}
+
 std::string lowerCase(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -77,7 +130,8 @@
 
     void onRequest(const Pistache::Http::Request &request, Pistache::Http::ResponseWriter writer) override
     {
-        m_target(convertRequest(request), http_responder(std::make_unique<pistache_connection>(std::move(writer))));
+        m_target(convertRequest(request),
+                 http_responder(std::make_unique<pistache_connection>(std::move(writer), persistenceOf(request))));
     }
 
 private:
--- /dev/null
+++ b/Tests/Processes/LoadTally.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Processes
+{
+/// What became of the queries of a load.
+struct load_tally {
+    std::map<std::string, std::uint64_t> outcomes; ///< By outcome; "cut" counts queries whose connection broke.
+    std::vector<double> milliseconds; ///< Latency of each query that was answered or partial.
+    double leastCoverage = 1.0; ///< Of answered and partial queries.
+    std::uint64_t wrongAnswers = 0; ///< Items that the stand-ins do not hold, or a false coverage.
+    std::map<std::string, std::uint64_t> snapshots; ///< Answers by snapshot.
+
+    [[nodiscard]] std::uint64_t count(const std::string &outcome) const
+    {
+        const auto found = outcomes.find(outcome);
+        return found == outcomes.end() ? 0 : found->second;
+    }
+};
+}
--- a/Tests/StandIns/CallerMain.cpp
+++ b/Tests/StandIns/CallerMain.cpp
@@ -1,7 +1,7 @@
 #include "LibCore/Time.h"
 #include "LibPlatform/BlockingHttpClient.h"
 #include "LibPlatform/HttpCall.h"
-#include "StandIns/ExpectedItems.h"
+#include "StandIns/AnswerCheck.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -57,29 +57,6 @@
     return list;
 }
 
-/// Whether each item is one that the stand-ins hold for the answer's snapshot, and none is there twice.
-bool itemsAreRight(const json::object &answer, const std::string &query)
-{
-    std::vector<std::string> seen;
-    const std::string snapshot(answer.at("snapshot").as_string());
-    for (const json::value &item : answer.at("results").as_array()) {
-        const std::string id(item.at("id").as_string());
-        const std::size_t shardStart = id.find('/') + 1;
-        const std::string shard = id.substr(shardStart, id.find('/', shardStart) - shardStart);
-        const auto expected = StandIns::expectedItems(snapshot, shard, query);
-        const bool known = std::any_of(expected.begin(), expected.end(), [&](const Query::result_item &candidate) {
-            return candidate.id == id && candidate.score == item.at("score").to_number<double>();
-        });
-        if (!known || std::find(seen.begin(), seen.end(), id) != seen.end()) {
-            return false;
-        }
-        seen.push_back(id);
-    }
-    constexpr std::size_t itemsPerShard = 3;
-    constexpr std::size_t mostItems = 100;
-    return seen.size() == std::min(answer.at("shards_answered").to_number<std::size_t>() * itemsPerShard, mostItems);
-}
-
 void sendQuery(Platform::blocking_http_client &client, const std::string &address, int number, tally &sums)
 {
     const char *key = std::getenv("RAGWORTCRANK_TEAM_KEY");
@@ -113,7 +90,7 @@
     sums.leastCoverage = std::min(sums.leastCoverage, answer.at("coverage").to_number<double>());
     sums.shardRequests += answer.at("shard_requests").to_number<std::uint64_t>();
     sums.firstRequests += answer.at("shards_total").to_number<std::uint64_t>();
-    sums.wrongAnswers += itemsAreRight(answer, query) ? 0 : 1;
+    sums.wrongAnswers += StandIns::answerIsRight(answer, query) ? 0 : 1;
 }
 
 double quantile(std::vector<double> values, double part)
