--- a/Tests/Processes/CallerLoad.cpp
+++ b/Tests/Processes/CallerLoad.cpp
@@ -97,10 +97,10 @@
         const std::string query = "q" + std::to_string(caller) + "-" + std::to_string(number);
         Platform::http_call call;
         call.method = "POST";
-        call.url = "http://" + entries[static_cast<std::size_t>(caller + number) % entries.size()]
-            + "/v1/query/search/lookup";
+        call.url =
+            "http://" + entries[static_cast<std::size_t>(caller + number) % entries.size()] + "/v1/query/search/lookup";
         call.headers = {"Authorization: Bearer " + m_teamKey};
-        call.body = json::serialize(json::object{{"query", query}});
+        call.body = json::serialize(json::object {{"query", query}});
         call.timeout = std::chrono::seconds(5);
         const Core::time_point start = std::chrono::steady_clock::now();
         const Platform::call_outcome outcome = client.send(std::move(call));
@@ -114,4 +114,4 @@
         countAnswer(json::parse(outcome.response.body).as_object(), query, milliseconds, m_tally);
     }
 }
-}
+} // namespace Processes
--- a/Tests/Processes/CallerLoad.h
+++ b/Tests/Processes/CallerLoad.h
@@ -31,9 +31,9 @@
 
     const std::vector<std::string> m_daemons;
     const std::string m_teamKey;
-    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_stopping {false};
     std::mutex m_mutex;
     load_tally m_tally; ///< Guarded by m_mutex.
     std::vector<std::thread> m_threads;
 };
-}
+} // namespace Processes
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -26,7 +26,7 @@
                              const std::vector<std::string> &environment, const std::string &logPath)
 {
     const std::string path = std::string(RAGWORTCRANK_BUILD_FOLDER) + "/" + program;
-    std::vector<std::string> argumentTexts{path};
+    std::vector<std::string> argumentTexts {path};
     argumentTexts.insert(argumentTexts.end(), arguments.begin(), arguments.end());
     std::vector<std::string> environmentTexts = environment;
     const std::vector<char *> argumentPointers = pointers(argumentTexts);
@@ -72,4 +72,4 @@
     }
     return m_exitCode;
 }
-}
+} // namespace Processes
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -23,11 +23,12 @@
 
     /// Sends a signal to exactly this process.
     void signal(int number) const;
-    /// Returns the exit code, 128 + the signal's number for a killed process, or nothing if it still runs after `longest`.
+    /// Returns the exit code, 128 + the signal's number for a killed process, or nothing if it still runs after
+    /// `longest`.
     std::optional<int> waitForExit(Core::duration longest);
 
 private:
     pid_t m_id = -1;
     std::optional<int> m_exitCode;
 };
-}
+} // namespace Processes
--- a/Tests/Processes/FleetOptions.h
+++ b/Tests/Processes/FleetOptions.h
@@ -13,4 +13,4 @@
     int ownersPerReplica = 0;
     std::vector<std::string> daemonFlags; ///< Further flags for every daemon.
 };
-}
+} // namespace Processes
--- a/Tests/Processes/FreePort.cpp
+++ b/Tests/Processes/FreePort.cpp
@@ -15,7 +15,7 @@
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     VERIFY(descriptor >= 0);
-    sockaddr_in address{};
+    sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
@@ -37,4 +37,4 @@
         }
     }
 }
-}
+} // namespace Processes
--- a/Tests/Processes/LoadTally.h
+++ b/Tests/Processes/LoadTally.h
@@ -21,4 +21,4 @@
         return found == outcomes.end() ? 0 : found->second;
     }
 };
-}
+} // namespace Processes
--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -1,6 +1,7 @@
 #include "Processes/TestFleet.h"
 
 #include "LibCore/Verify.h"
+#include "LibPlatform/BlockingHttpClient.h"
 #include "LibPlatform/HttpCall.h"
 #include "LibTeams/Authenticate.h"
 #include "Processes/ChildProcess.h"
@@ -19,7 +20,7 @@
 {
 namespace json = boost::json;
 
-static const std::vector<std::string> dataCentreNames{"dc-a", "dc-b", "dc-c"};
+static const std::vector<std::string> dataCentreNames {"dc-a", "dc-b", "dc-c"};
 static const std::string operatorKey = "test-operator-key";
 
 test_fleet::test_fleet(const fleet_options &options)
@@ -36,11 +37,11 @@
     makeDocument(options);
     std::ofstream(m_folder + "/configuration.json") << json::serialize(m_document);
     m_store = std::make_unique<child_process>("Tests/StandIns/standin_store",
-                                              std::vector<std::string>{"--port=" + std::to_string(m_storePort)},
-                                              std::vector<std::string>{}, m_folder + "/store.log");
+                                              std::vector<std::string> {"--port=" + std::to_string(m_storePort)},
+                                              std::vector<std::string> {}, m_folder + "/store.log");
     m_backend = std::make_unique<child_process>(
-        "Tests/StandIns/standin_backend", std::vector<std::string>{"--config=" + m_folder + "/configuration.json"},
-        std::vector<std::string>{}, m_folder + "/backend.log");
+        "Tests/StandIns/standin_backend", std::vector<std::string> {"--config=" + m_folder + "/configuration.json"},
+        std::vector<std::string> {}, m_folder + "/backend.log");
     for (int attempt = 0; attempt < 200 && storeCounters().contains("unreachable"); ++attempt) {
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
@@ -76,32 +77,34 @@
     json::object replicas;
     for (int shard = 0; shard < options.shards; ++shard) {
         const std::string shardName = "s" + std::to_string(shard);
-        shards[shardName] = json::object{{"weight", 1.0}};
+        shards[shardName] = json::object {{"weight", 1.0}};
         for (int replica = 0; replica < options.replicasPerShard; ++replica) {
             const std::string name = shardName + "-r" + std::to_string(replica);
             const std::string address = "127.0.0.1:" + std::to_string(findFreePort());
             m_replicaAddresses[name] = address;
-            replicas[name]
-                = json::object{{"shard", shardName},
-                               {"address", address},
-                               {"data_centre", dataCentreNames[static_cast<std::size_t>(replica) % 3]},
-                               {"version", "v1"}};
+            replicas[name] = json::object {{"shard", shardName},
+                                           {"address", address},
+                                           {"data_centre", dataCentreNames[static_cast<std::size_t>(replica) % 3]},
+                                           {"version", "v1"}};
         }
     }
-    const json::object routes{
-        {"lookup", json::object{{"deadline_ms", 1000}, {"priority", "lookup"}}},
-        {"book", json::object{{"idempotent", false}, {"fan_out", "one"}, {"deadline_ms", 1000}}}};
+    const json::object routes {
+        {"lookup", json::object {{"deadline_ms", 1000}, {"priority", "lookup"}}},
+        {"book", json::object {{"idempotent", false}, {"fan_out", "one"}, {"deadline_ms", 1000}}}};
     m_document = {
-        {"tier", json::object{{"entry_time_to_live_ms", 500}, {"owners_per_replica", options.ownersPerReplica}}},
-        {"data_centres", json::object{{"dc-a", json::object{{"region", "north"}}},
-                                      {"dc-b", json::object{{"region", "west"}}},
-                                      {"dc-c", json::object{{"region", "east"}}}}},
-        {"teams", json::object{{"team", json::object{{"key_hash", Teams::hashKey(teamKey())}, {"share", 0.5}}}}},
-        {"services", json::object{{"search", json::object{{"routes", routes},
-                                                          {"snapshots", json::object{{"snapshot-1", json::object{{"shards", shards}}}}},
-                                                          {"current_snapshot", "snapshot-1"},
-                                                          {"replicas", replicas},
-                                                          {"version", "v1"}}}}}};
+        {"tier", json::object {{"entry_time_to_live_ms", 500}, {"owners_per_replica", options.ownersPerReplica}}},
+        {"data_centres",
+         json::object {{"dc-a", json::object {{"region", "north"}}},
+                       {"dc-b", json::object {{"region", "west"}}},
+                       {"dc-c", json::object {{"region", "east"}}}}},
+        {"teams", json::object {{"team", json::object {{"key_hash", Teams::hashKey(teamKey())}, {"share", 0.5}}}}},
+        {"services",
+         json::object {{"search",
+                        json::object {{"routes", routes},
+                                      {"snapshots", json::object {{"snapshot-1", json::object {{"shards", shards}}}}},
+                                      {"current_snapshot", "snapshot-1"},
+                                      {"replicas", replicas},
+                                      {"version", "v1"}}}}}};
 }
 
 std::string test_fleet::teamKey() const
@@ -117,16 +120,15 @@
 void test_fleet::startDaemon(int daemon)
 {
     const auto index = static_cast<std::size_t>(daemon);
-    std::vector<std::string> arguments{"--vm_name=vm-" + std::to_string(daemon),
-                                       "--data_centre=" + dataCentreNames[index % 3],
-                                       "--caller_port=" + std::to_string(m_callerPorts[index]),
-                                       "--peer_port=" + std::to_string(m_peerPorts[index]),
-                                       "--store_url=http://127.0.0.1:" + std::to_string(m_storePort)};
+    std::vector<std::string> arguments {
+        "--vm_name=vm-" + std::to_string(daemon), "--data_centre=" + dataCentreNames[index % 3],
+        "--caller_port=" + std::to_string(m_callerPorts[index]), "--peer_port=" + std::to_string(m_peerPorts[index]),
+        "--store_url=http://127.0.0.1:" + std::to_string(m_storePort)};
     arguments.insert(arguments.end(), m_options.daemonFlags.begin(), m_options.daemonFlags.end());
-    m_daemons[index] = std::make_unique<child_process>(
-        "Services/ragwortcrankd/ragwortcrankd", arguments,
-        std::vector<std::string>{"RAGWORTCRANK_OPERATOR_KEY=" + operatorKey},
-        m_folder + "/vm-" + std::to_string(daemon) + ".log");
+    m_daemons[index] =
+        std::make_unique<child_process>("Services/ragwortcrankd/ragwortcrankd", arguments,
+                                        std::vector<std::string> {"RAGWORTCRANK_OPERATOR_KEY=" + operatorKey},
+                                        m_folder + "/vm-" + std::to_string(daemon) + ".log");
 }
 
 void test_fleet::restartDaemon(int daemon)
@@ -153,11 +155,11 @@
 {
     json::array list;
     for (std::size_t index = 0; index < m_callerPorts.size(); ++index) {
-        list.push_back(json::object{{"name", "vm-" + std::to_string(index)},
-                                    {"caller_address", "127.0.0.1:" + std::to_string(m_callerPorts[index])},
-                                    {"peer_address", "127.0.0.1:" + std::to_string(m_peerPorts[index])},
-                                    {"data_centre", dataCentreNames[index % 3]},
-                                    {"leaving", false}});
+        list.push_back(json::object {{"name", "vm-" + std::to_string(index)},
+                                     {"caller_address", "127.0.0.1:" + std::to_string(m_callerPorts[index])},
+                                     {"peer_address", "127.0.0.1:" + std::to_string(m_peerPorts[index])},
+                                     {"data_centre", dataCentreNames[index % 3]},
+                                     {"leaving", false}});
     }
     int status = 0;
     call("PUT", "http://127.0.0.1:" + std::to_string(m_storePort) + "/objects/vms", json::serialize(list), status);
@@ -172,7 +174,8 @@
     request.headers = {"Authorization: Bearer " + operatorKey};
     request.body = body;
     request.timeout = std::chrono::seconds(10);
-    const Platform::call_outcome outcome = m_client.send(std::move(request));
+    Platform::blocking_http_client client; // One for each call, since tests call from several threads.
+    const Platform::call_outcome outcome = client.send(std::move(request));
     status = outcome.failure == Platform::call_failure::None ? outcome.response.status : 0;
     boost::system::error_code error;
     const json::value value = json::parse(outcome.response.body, error);
@@ -205,7 +208,8 @@
 std::uint64_t test_fleet::numberInForce(int daemon)
 {
     int status = 0;
-    const json::object document = call("GET", "http://" + daemonAddress(daemon) + "/v1/operator/configuration", "", status);
+    const json::object document =
+        call("GET", "http://" + daemonAddress(daemon) + "/v1/operator/configuration", "", status);
     return document.contains("number") ? document.at("number").to_number<std::uint64_t>() : 0;
 }
 
@@ -277,4 +281,4 @@
     }
     return total;
 }
-}
+} // namespace Processes
--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "LibCore/Time.h"
-#include "LibPlatform/BlockingHttpClient.h"
 #include "Processes/FleetOptions.h"
 
 #include <boost/json/object.hpp>
@@ -68,6 +67,5 @@
     std::unique_ptr<child_process> m_store;
     std::unique_ptr<child_process> m_backend;
     std::vector<std::unique_ptr<child_process>> m_daemons;
-    Platform::blocking_http_client m_client;
 };
-}
+} // namespace Processes
--- a/Tests/Processes/TestIndexChanges.cpp
+++ b/Tests/Processes/TestIndexChanges.cpp
@@ -14,9 +14,9 @@
     Processes::caller_load load({fleet.daemonAddress(0), fleet.daemonAddress(1)}, fleet.teamKey(), 4);
     std::this_thread::sleep_for(1s);
     // The new snapshot is repartitioned: it has half of the shards.
-    const json::object shards{{"s0", {{"weight", 2.0}}}, {"s1", {{"weight", 2.0}}}};
-    const json::object service{{"snapshots", {{"snapshot-2", {{"shards", shards}}}}},
-                               {"current_snapshot", "snapshot-2"}};
+    const json::object shards {{"s0", {{"weight", 2.0}}}, {"s1", {{"weight", 2.0}}}};
+    const json::object service {{"snapshots", {{"snapshot-2", {{"shards", shards}}}}},
+                                {"current_snapshot", "snapshot-2"}};
     ASSERT_EQ(fleet.patch(0, 1, "snapshot", {{"services", {{"search", service}}}}), 200);
     ASSERT_TRUE(fleet.waitForNumber(2, 7s));
     load.take();
@@ -34,7 +34,7 @@
     Processes::caller_load load({fleet.daemonAddress(0)}, fleet.teamKey(), 4);
     std::this_thread::sleep_for(500ms);
     for (const char *replica : {"s0-r0", "s0-r1", "s0-r2"}) {
-        fleet.setBackendFaults(replica, {{"gone_snapshots", json::array{"snapshot-1"}}});
+        fleet.setBackendFaults(replica, {{"gone_snapshots", json::array {"snapshot-1"}}});
     }
     std::this_thread::sleep_for(500ms);
     load.take();
--- a/Tests/StandIns/AnswerCheck.cpp
+++ b/Tests/StandIns/AnswerCheck.cpp
@@ -35,4 +35,4 @@
     }
     return seen.size() == std::min(answered * itemsPerShard, mostItems);
 }
-}
+} // namespace StandIns
