LibTeams: Hold shares across daemons, admit by priority and keep accounts

Cause: team shares, overload and accounts had no decision code; a daemon admitted everything.

Change: admit() per team with a factor that every daemon computes alike from the estimated rates of all daemons; the rates are summed by push-sum in pairwise messages (two bytes a rate, sums and weight lost alike), begun afresh every 4 s so that lost VMs are forgotten; divideCapacity() lends what is unused. A concurrency limit follows the part of their deadline that queries use; alerts may pass it by half. Accounts are rows by VM incarnation in 16 pages, merged by maximum.

Checked: planted faults (own rates only, alerts not preferred, credit needed by the query's own cost, no lending, rows added instead of maximised, alerts not above the limit, peak of the window lost) were each seen to fail a test.

--- /dev/null
+++ b/Libraries/LibTeams/Accounts.cpp
@@ -0,0 +1,74 @@
+#include "LibTeams/Accounts.h"
+
+#include <algorithm>
+
+namespace Teams
+{
+/// With 590 daemons and one write each in five minutes, 16 pages hold 37 rows each and take a write in 8 s.
+static constexpr std::uint64_t pageCount = 16;
+
+std::string accountPageKey(std::uint64_t incarnation)
+{
+    // Incarnations are times, so their low bits are mixed before the page is chosen.
+    const std::uint64_t mixed = (incarnation * 0x9E3779B97F4A7C15ULL) >> 32U;
+    return "accounts-" + std::to_string(mixed % pageCount);
+}
+
+std::vector<std::string> accountPageKeys()
+{
+    std::vector<std::string> keys;
+    for (std::uint64_t page = 0; page < pageCount; ++page) {
+        keys.push_back("accounts-" + std::to_string(page));
+    }
+    return keys;
+}
+
+void addAccount(team_account &sum, const team_account &part)
+{
+    sum.queries += part.queries;
+    sum.refused += part.refused;
+    sum.shardRequests += part.shardRequests;
+    sum.extraShardRequests += part.extraShardRequests;
+}
+
+static void takeLarger(team_account &held, const team_account &other)
+{
+    held.queries = std::max(held.queries, other.queries);
+    held.refused = std::max(held.refused, other.refused);
+    held.shardRequests = std::max(held.shardRequests, other.shardRequests);
+    held.extraShardRequests = std::max(held.extraShardRequests, other.extraShardRequests);
+}
+
+void putRow(account_page &page, std::uint64_t incarnation, const account_row &row)
+{
+    account_row &held = page.rows[incarnation];
+    for (const auto &[team, account] : row.teams) {
+        takeLarger(held.teams[team], account);
+    }
+    held.writtenAt = std::max(held.writtenAt, row.writtenAt);
+}
+
+void foldRows(account_page &page, Core::wall_time now)
+{
+    std::erase_if(page.rows, [&](const auto &entry) {
+        if (now - entry.second.writtenAt < accountRowLife) {
+            return false;
+        }
+        for (const auto &[team, account] : entry.second.teams) {
+            addAccount(page.past[team], account);
+        }
+        return true;
+    });
+}
+
+std::map<std::string, team_account> pageTotals(const account_page &page)
+{
+    std::map<std::string, team_account> totals = page.past;
+    for (const auto &[incarnation, row] : page.rows) {
+        for (const auto &[team, account] : row.teams) {
+            addAccount(totals[team], account);
+        }
+    }
+    return totals;
+}
+} // namespace Teams
--- /dev/null
+++ b/Libraries/LibTeams/Admission.cpp
@@ -0,0 +1,125 @@
+#include "LibTeams/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+using Configuration::priority_class;
+
+namespace Teams
+{
+/// Time constant of the recent rates.
+static constexpr std::chrono::milliseconds recentSmoothing {400};
+/// Time constant of the steady rates while they agree with the recent ones.
+static constexpr std::chrono::milliseconds steadySmoothing {800};
+/// Standard deviations of random arrivals by which the recent rate must differ to replace the steady one at once.
+static constexpr double significance = 2.5;
+/// Time constant with which a claim falls to the demand.
+static constexpr std::chrono::milliseconds claimDecay {800};
+/// Time over which an overdraft is held back.
+static constexpr std::chrono::seconds repayment {2};
+/// Unused credit that is kept for later, in queries of the largest cost.
+static constexpr double mostCredit = 4.0;
+/// How far alerts may run the credit below zero, in queries of the largest cost; the other classes then pay it back.
+static constexpr double mostAlertDebt = 16.0;
+/// Part of the largest cost that is left after each query.
+static constexpr double costMemory = 0.999;
+
+const char *refusalText(refusal_reason reason)
+{
+    return reason == refusal_reason::OverShare ? "the team is over its share" : "the system is overloaded";
+}
+
+/// The credit that a class needs. It does not depend on the query's own cost, so that large queries are refused no more
+/// often than small ones.
+static double creditNeeded(priority_class priority, double largestCost)
+{
+    switch (priority) {
+    case priority_class::Alert:
+        return -mostAlertDebt * largestCost;
+    case priority_class::Lookup:
+        return 0.0;
+    case priority_class::Ordinary:
+        return largestCost;
+    }
+    return largestCost;
+}
+
+std::optional<refusal> admit(team_admission &team, priority_class priority, double cost)
+{
+    constexpr std::chrono::milliseconds retryAfter {1000};
+    team.offeredSince += cost;
+    team.largestCost = std::max(team.largestCost * costMemory, cost);
+    if (team.factor < 1.0) {
+        // The credit is looked at before the query adds to it, which would let large queries in more often.
+        const bool refused = team.credit < creditNeeded(priority, team.largestCost);
+        team.credit += team.factor * cost - (refused ? 0.0 : cost);
+        team.credit = std::min(team.credit, mostCredit * team.largestCost);
+        if (refused) {
+            return refusal {refusal_reason::OverShare, retryAfter};
+        }
+    }
+    team.admittedSince += cost;
+    return std::nullopt;
+}
+
+static void smooth(double &rate, double sample, double elapsed, Core::duration timeConstant)
+{
+    rate += (1.0 - std::exp(-elapsed / Core::toSeconds(timeConstant))) * (sample - rate);
+}
+
+static bool hasChanged(double steady, double recent, double cost)
+{
+    // The recent rate averages over twice its time constant.
+    const double queries = std::max(steady, recent) / std::max(cost, 1.0) * 2.0 * Core::toSeconds(recentSmoothing);
+    return std::abs(recent - steady) * std::sqrt(queries) > significance * std::max(steady, recent);
+}
+
+void updateRates(team_admission &team, Core::time_point now)
+{
+    const double elapsed = Core::toSeconds(now - team.updatedAt);
+    if (elapsed <= 0.0) {
+        return;
+    }
+    const team_rates sample {team.offeredSince / elapsed, team.admittedSince / elapsed};
+    smooth(team.recent.demand, sample.demand, elapsed, recentSmoothing);
+    smooth(team.recent.admitted, sample.admitted, elapsed, recentSmoothing);
+    if (hasChanged(team.rates.demand, team.recent.demand, team.largestCost)
+        || hasChanged(team.rates.admitted, team.recent.admitted, team.largestCost)) {
+        team.rates = team.recent;
+    } else {
+        smooth(team.rates.demand, sample.demand, elapsed, steadySmoothing);
+        smooth(team.rates.admitted, sample.admitted, elapsed, steadySmoothing);
+    }
+    team.offeredSince = 0.0;
+    team.admittedSince = 0.0;
+    team.updatedAt = now;
+}
+
+double updateClaim(team_admission &team, const team_rates &total, Core::duration sinceLast)
+{
+    const double kept = std::exp(-Core::toSeconds(sinceLast) / Core::toSeconds(claimDecay));
+    team.claim = std::max(total.demand, total.demand + (team.claim - total.demand) * kept);
+    return team.claim;
+}
+
+void updateFactor(team_admission &team, const team_rates &total, double granted, Core::duration sinceLast)
+{
+    // The overdraft is bounded, so that a wrong estimate cannot shut a team out for long.
+    const double mostOverdrawn = granted * Core::toSeconds(repayment);
+    const double leastOverdrawn = team.claim > granted ? -mostOverdrawn / 4.0 : 0.0;
+    team.overdrawn += (total.admitted - granted) * Core::toSeconds(sinceLast);
+    team.overdrawn = std::clamp(team.overdrawn, leastOverdrawn, mostOverdrawn);
+    if (team.claim <= granted) {
+        removeLimit(team);
+        return;
+    }
+    const double target = granted - team.overdrawn / Core::toSeconds(repayment);
+    team.factor = std::clamp(target / std::max(total.demand, 1.0), 0.0, 1.0);
+}
+
+void removeLimit(team_admission &team)
+{
+    team.factor = 1.0;
+    team.credit = 0.0;
+}
+} // namespace Teams
--- /dev/null
+++ b/Libraries/LibTeams/DivideCapacity.cpp
@@ -0,0 +1,39 @@
+#include "LibTeams/DivideCapacity.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace Teams
+{
+std::vector<double> divideCapacity(const std::vector<team_demand> &claims, double capacity)
+{
+    // Teams without a share of their own borrow last, but not never.
+    constexpr double smallestShare = 1e-6;
+    std::vector<double> granted;
+    double left = capacity;
+    for (const team_demand &claim : claims) {
+        granted.push_back(std::min(claim.demand, claim.share * capacity));
+        left -= granted.back();
+    }
+    // Each round satisfies at least one team, or gives everything out.
+    for (std::size_t round = 0; round < claims.size() && left > 0.0; ++round) {
+        double shares = 0.0;
+        for (std::size_t index = 0; index < claims.size(); ++index) {
+            shares += granted[index] < claims[index].demand ? std::max(claims[index].share, smallestShare) : 0.0;
+        }
+        if (shares <= 0.0) {
+            break;
+        }
+        const double perShare = left / shares;
+        for (std::size_t index = 0; index < claims.size(); ++index) {
+            const double wanted = claims[index].demand - granted[index];
+            const double lent = std::min(wanted, perShare * std::max(claims[index].share, smallestShare));
+            if (lent > 0.0) {
+                granted[index] += lent;
+                left -= lent;
+            }
+        }
+    }
+    return granted;
+}
+} // namespace Teams
--- /dev/null
+++ b/Libraries/LibTeams/Overload.cpp
@@ -0,0 +1,95 @@
+#include "LibTeams/Overload.h"
+
+#include <algorithm>
+#include <cstddef>
+
+using Configuration::priority_class;
+
+namespace Teams
+{
+/// The limit is adapted once a window.
+static constexpr std::chrono::milliseconds window {100};
+/// A window with fewer ended queries is extended.
+static constexpr std::uint32_t fewestEnded = 8;
+/// Mean used part of the allowed time above which the limit falls.
+static constexpr double highPressure = 0.4;
+/// Below this the limit rises fast.
+static constexpr double lowPressure = 0.15;
+static constexpr double decrease = 0.85;
+static constexpr double slowIncrease = 1.03;
+static constexpr double fastIncrease = 1.25;
+/// The limit rises only if this part of it was in use.
+static constexpr double inUse = 0.7;
+static constexpr double smallestLimit = 8.0;
+static constexpr double largestLimit = 1e7;
+
+static double partOfLimit(priority_class priority)
+{
+    switch (priority) {
+    case priority_class::Alert:
+        return 1.5;
+    case priority_class::Lookup:
+        return 1.0;
+    case priority_class::Ordinary:
+        return 0.9;
+    }
+    return 0.9;
+}
+
+std::optional<refusal> startLoad(overload_state &state, priority_class priority, double cost)
+{
+    constexpr std::chrono::milliseconds retryAfter {500};
+    // A query larger than the limit runs alone.
+    if (state.inFlight > 0.0 && state.inFlight + cost > state.limit * partOfLimit(priority)) {
+        return refusal {refusal_reason::Overloaded, retryAfter};
+    }
+    state.inFlight += cost;
+    state.peakInFlight = std::max(state.peakInFlight, state.inFlight);
+    return std::nullopt;
+}
+
+/// The highest mean used part of the allowed time over the classes, since classes differ in their deadlines.
+static double pressureOf(const overload_state &state)
+{
+    double pressure = 0.0;
+    for (std::size_t index = 0; index < overload_state::classCount; ++index) {
+        if (state.endedCount[index] > 0) {
+            pressure = std::max(pressure, state.usedSum[index] / state.endedCount[index]);
+        }
+    }
+    return pressure;
+}
+
+static void adaptLimit(overload_state &state, Core::time_point now)
+{
+    const double pressure = pressureOf(state);
+    if (pressure > highPressure) {
+        // Queries that were admitted above the limit say nothing about it, so it falls from what really ran.
+        state.limit = std::min(state.limit, state.peakInFlight) * decrease;
+    } else if (state.peakInFlight > state.limit * inUse) {
+        state.limit *= pressure < lowPressure ? fastIncrease : slowIncrease;
+    }
+    state.limit = std::clamp(state.limit, smallestLimit, largestLimit);
+    state.usedSum = {};
+    state.endedCount = {};
+    state.peakInFlight = state.inFlight;
+    state.windowStart = now;
+}
+
+void endLoad(overload_state &state, priority_class priority, double cost, Core::duration latency,
+             Core::duration allowed, Core::time_point now)
+{
+    state.inFlight = std::max(0.0, state.inFlight - cost);
+    const auto index = static_cast<std::size_t>(priority);
+    const double used = allowed.count() > 0 ? Core::toSeconds(latency) / Core::toSeconds(allowed) : 1.0;
+    state.usedSum[index] += std::min(used, 1.0);
+    ++state.endedCount[index];
+    std::uint32_t ended = 0;
+    for (const std::uint32_t count : state.endedCount) {
+        ended += count;
+    }
+    if (now - state.windowStart >= window && ended >= fewestEnded) {
+        adaptLimit(state, now);
+    }
+}
+} // namespace Teams
--- /dev/null
+++ b/Libraries/LibTeams/Refusal.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "LibTeams/RefusalReason.h"
+
+#include <chrono>
+
+namespace Teams
+{
+/// A refusal with its reason and a hint when to try again.
+struct refusal {
+    refusal_reason reason = refusal_reason::OverShare;
+    std::chrono::milliseconds retryAfter {0};
+};
+} // namespace Teams
--- /dev/null
+++ b/Tests/LibTeams/TestAccounts.cpp
@@ -0,0 +1,38 @@
+#include "LibTeams/Accounts.h"
+
+#include <gtest/gtest.h>
+
+using std::chrono::hours;
+
+static Teams::account_row rowAt(std::uint64_t queries, Core::wall_time at)
+{
+    Teams::account_row row;
+    row.teams["a"] = {queries, 1, queries * 8, 2};
+    row.writtenAt = at;
+    return row;
+}
+
+TEST(Accounts, ARepeatedOrLateWriteChangesNothing)
+{
+    const Core::wall_time now {hours(500000)};
+    Teams::account_page page;
+    Teams::putRow(page, 1, rowAt(10, now));
+    Teams::putRow(page, 1, rowAt(10, now));
+    Teams::putRow(page, 1, rowAt(7, now - hours(1)));
+    Teams::putRow(page, 2, rowAt(5, now));
+    EXPECT_EQ(Teams::pageTotals(page).at("a").queries, 15U);
+    EXPECT_EQ(Teams::pageTotals(page).at("a").shardRequests, 120U);
+}
+
+TEST(Accounts, FoldingGoneDaemonsKeepsTheTotals)
+{
+    const Core::wall_time now {hours(500000)};
+    Teams::account_page page;
+    Teams::putRow(page, 1, rowAt(10, now - Teams::accountRowLife));
+    Teams::putRow(page, 2, rowAt(5, now));
+    Teams::foldRows(page, now);
+    EXPECT_EQ(page.rows.size(), 1U);
+    EXPECT_EQ(Teams::pageTotals(page).at("a").queries, 15U);
+    EXPECT_EQ(Teams::decodePage(Teams::encodePage(page)).value(), page);
+    EXPECT_FALSE(Teams::decodePage("{\"past\":{},\"rows\":{\"x\":{}}}"));
+}
