LibConfiguration: Carry a patch as a pure transaction and validate the whole document

Cause: a lost reply, a 5xx after a write, and a repeat older than the kept ids could give a false answer; a 4xx to a write counted as success; validation covered only a few rules; nothing reported how far a change had come.

--- a/Libraries/LibConfiguration/ApplyPatch.cpp
+++ b/Libraries/LibConfiguration/ApplyPatch.cpp
@@ -1,22 +1,23 @@
 #include "LibConfiguration/ApplyPatch.h"
 
+#include "LibConfiguration/Limits.h"
 #include "LibConfiguration/Parse.h"
+#include "LibConfiguration/PatchId.h"
 #include "LibConfiguration/PatchRequest.h"
+#include "LibConfiguration/Validate.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace Configuration
 {
 namespace json = boost::json;
 
-static constexpr std::size_t mostRecentPatchIds = 200;
-static constexpr std::size_t mostDocumentBytes = 1'000'000; // The store holds values up to a megabyte.
-
 /// RFC 7396, section 2.
 static void mergePatch(json::value &target, const json::value &patch)
 {
@@ -56,61 +57,115 @@
     }
 }
 
-static void finishDocument(patch_outcome &outcome, configuration_document document, const patch_request &request,
-                           std::uint64_t number)
+/// Returns the number that a patch made, if the document still keeps the patch's id. Each kept id made one number.
+static std::optional<std::uint64_t> numberMadeBy(const configuration_document &document, const std::string &patchId)
+{
+    const std::vector<std::string> &ids = document.recentPatchIds;
+    const auto found = std::find(ids.rbegin(), ids.rend(), patchId);
+    if (found == ids.rend()) {
+        return std::nullopt;
+    }
+    return document.number - static_cast<std::uint64_t>(found - ids.rbegin());
+}
+
+/// Notes the number at the rollouts and data centres that it changed, so that a report can name what it began.
+static void markChanges(const configuration_document &current, configuration_document &next)
+{
+    for (auto &[name, dataCentre] : next.dataCentres) {
+        const auto before = current.dataCentres.find(name);
+        const bool known = before != current.dataCentres.end();
+        const bool wasOut = known && before->second.out;
+        const std::uint64_t unchanged = known ? before->second.change : 0;
+        dataCentre.change = dataCentre.out == wasOut ? unchanged : next.number;
+    }
+    for (auto &[name, service] : next.services) {
+        if (!service.rollout) {
+            continue;
+        }
+        const auto before = current.services.find(name);
+        const bool same = before != current.services.end() && before->second.rollout
+            && before->second.rollout->number == service.rollout->number;
+        service.rollout->change = same ? before->second.rollout->change : next.number;
+    }
+}
+
+static void finishDocument(patch_outcome &outcome, const configuration_document &current, configuration_document next,
+                           const patch_request &request)
 {
-    document.number = number;
-    document.recentPatchIds.push_back(request.patchId);
-    if (document.recentPatchIds.size() > mostRecentPatchIds) {
-        document.recentPatchIds.erase(document.recentPatchIds.begin());
+    next.number = current.number + 1;
+    next.recentPatchIds.push_back(request.patchId);
+    if (next.recentPatchIds.size() > mostRecentPatchIds) {
+        next.recentPatchIds.erase(next.recentPatchIds.begin());
     }
-    outcome.text = serializeDocument(document);
+    markChanges(current, next);
+    outcome.text = serializeDocument(next);
     if (outcome.text.size() > mostDocumentBytes) {
-        outcome.findings.push_back(
-            {"",
-             "the document would have " + std::to_string(outcome.text.size()) + " bytes; at most 1000000 are allowed"});
+        outcome.findings.push_back({"",
+                                    "the document would have " + std::to_string(outcome.text.size())
+                                        + " bytes; at most " + std::to_string(mostDocumentBytes) + " are allowed"});
         return;
     }
     outcome.verdict = patch_verdict::Applied;
-    outcome.number = number;
-    outcome.document = std::move(document);
+    outcome.number = next.number;
+    outcome.document = std::move(next);
 }
 
-patch_outcome applyPatch(std::string_view currentText, const patch_request &request)
+/// Whether an id is so old that the document cannot tell if the patch was applied.
+static bool isForgotten(const configuration_document &document, std::uint64_t firstNumber)
+{
+    return firstNumber + document.recentPatchIds.size() < document.number;
+}
+
+static void applyToCurrent(patch_outcome &outcome, const configuration_document &current, std::string_view currentText,
+                           const patch_request &request)
 {
-    const parsed_document current = currentText.empty() ? parsed_document() : parseDocument(currentText);
-    if (!current.findings.empty()) {
-        return invalid("",
-                       "the stored document is not valid: " + current.findings.front().path + " "
-                           + current.findings.front().message);
-    }
-    patch_outcome outcome;
-    outcome.number = current.document.number;
-    const std::vector<std::string> &ids = current.document.recentPatchIds;
-    if (std::find(ids.begin(), ids.end(), request.patchId) != ids.end()) {
-        outcome.verdict = patch_verdict::AlreadyApplied;
-        return outcome;
-    }
-    if (request.baseNumber != current.document.number) {
-        outcome.verdict = patch_verdict::StaleNumber;
-        return outcome;
-    }
     boost::system::error_code error;
     const json::value patch = json::parse(request.patch, error);
     if (error) {
-        return invalid("", "the patch is not valid JSON: " + error.message());
+        outcome = invalid("", "the patch is not valid JSON: " + error.message());
+        return;
     }
     checkReservedMembers(patch, outcome.findings);
     if (!outcome.findings.empty()) {
-        return outcome;
+        return;
     }
     json::value merged =
         currentText.empty() ? json::value(json::object()) : json::parse({currentText.data(), currentText.size()});
     mergePatch(merged, patch);
     parsed_document next = parseDocument(json::serialize(merged));
     outcome.findings = std::move(next.findings);
+    validateSuccessor(current, next.document, outcome.findings);
     if (outcome.findings.empty()) {
-        finishDocument(outcome, std::move(next.document), request, current.document.number + 1);
+        finishDocument(outcome, current, std::move(next.document), request);
+    }
+}
+
+patch_outcome applyPatch(std::string_view currentText, const patch_request &request)
+{
+    const parsed_document current = currentText.empty() ? parsed_document() : parseDocument(currentText);
+    if (!current.findings.empty()) {
+        return invalid("",
+                       "the stored document is not valid: " + current.findings.front().path + " "
+                           + current.findings.front().message);
+    }
+    patch_outcome outcome;
+    outcome.number = current.document.number;
+    const std::optional<std::uint64_t> firstNumber = firstNumberOf(request.patchId);
+    if (!firstNumber || *firstNumber > request.baseNumber) {
+        return invalid("",
+                       "patch id \"" + request.patchId
+                           + "\" must be the number it was first made against, a hyphen, and 1 to 64 letters a to z "
+                             "and digits");
+    }
+    if (const std::optional<std::uint64_t> made = numberMadeBy(current.document, request.patchId)) {
+        outcome.verdict = patch_verdict::AlreadyApplied;
+        outcome.number = *made;
+    } else if (isForgotten(current.document, *firstNumber)) {
+        outcome.verdict = patch_verdict::Forgotten;
+    } else if (request.baseNumber != current.document.number) {
+        outcome.verdict = patch_verdict::StaleNumber;
+    } else {
+        applyToCurrent(outcome, current.document, currentText, request);
     }
     return outcome;
 }
--- /dev/null
+++ b/Libraries/LibConfiguration/ChangeReport.cpp
@@ -0,0 +1,83 @@
+#include "LibConfiguration/ChangeReport.h"
+
+#include "LibConfiguration/ConfigurationDocument.h"
+
+#include <algorithm>
+
+namespace Configuration
+{
+const char *changeStateName(change_state state)
+{
+    switch (state) {
+    case change_state::NotKnown:
+        return "not_known";
+    case change_state::Accepted:
+        return "accepted";
+    case change_state::InForce:
+        return "in_force";
+    case change_state::Done:
+        return "done";
+    case change_state::TakenBack:
+        return "taken_back";
+    }
+    return "not_known";
+}
+
+static change_state rolloutState(const service_settings &service, change_state spread)
+{
+    if (service.rollout->takenBack) {
+        return change_state::TakenBack;
+    }
+    if (service.version == service.rollout->toVersion && spread == change_state::InForce) {
+        return change_state::Done;
+    }
+    return spread;
+}
+
+static void collectSubjects(change_report &report, const configuration_document &document)
+{
+    for (const auto &[name, service] : document.services) {
+        if (service.rollout && service.rollout->change == report.number) {
+            report.rollouts[name] = rolloutState(service, report.state);
+        }
+    }
+    for (const auto &[name, dataCentre] : document.dataCentres) {
+        if (dataCentre.change == report.number) {
+            (dataCentre.out ? report.dataCentresOut : report.dataCentresIn).push_back(name);
+        }
+    }
+}
+
+static change_state overallState(const change_report &report)
+{
+    const auto isIn = [](change_state state) {
+        return [state](const auto &entry) {
+            return entry.second == state;
+        };
+    };
+    if (std::any_of(report.rollouts.begin(), report.rollouts.end(), isIn(change_state::TakenBack))) {
+        return change_state::TakenBack;
+    }
+    const bool allDone = std::all_of(report.rollouts.begin(), report.rollouts.end(), isIn(change_state::Done));
+    return !report.rollouts.empty() && allDone ? change_state::Done : report.state;
+}
+
+change_report reportChange(std::uint64_t number, const configuration_document &document,
+                           const std::map<std::string, std::uint64_t> &numbersInForce)
+{
+    change_report report;
+    report.number = number;
+    report.currentNumber = document.number;
+    if (number == 0 || number > document.number) {
+        return report;
+    }
+    for (const auto &[virtualMachine, inForce] : numbersInForce) {
+        (inForce >= number ? report.confirmed : report.missing).push_back(virtualMachine);
+    }
+    const bool everywhere = report.missing.empty() && !report.confirmed.empty();
+    report.state = everywhere ? change_state::InForce : change_state::Accepted;
+    collectSubjects(report, document);
+    report.state = overallState(report);
+    return report;
+}
+} // namespace Configuration
--- a/Libraries/LibConfiguration/ConfigurationDocument.h
+++ b/Libraries/LibConfiguration/ConfigurationDocument.h
@@ -15,7 +15,7 @@
 /// The whole configuration. One numbered document; every accepted patch makes the next number.
 struct configuration_document {
     std::uint64_t number = 0; ///< 0: no configuration yet.
-    std::vector<std::string> recentPatchIds; ///< Identifiers of the latest patches, the newest last.
+    std::vector<std::string> recentPatchIds; ///< Ids of the latest patches, one a number, the newest last.
     tier_settings tier;
     std::map<std::string, data_centre_settings> dataCentres;
     std::map<std::string, team_settings> teams;
--- a/Libraries/LibConfiguration/DataCentreSettings.h
+++ b/Libraries/LibConfiguration/DataCentreSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace Configuration
@@ -8,6 +9,7 @@
 struct data_centre_settings {
     std::string region;
     bool out = false; ///< True: no new work goes to its backend servers or its daemons.
+    std::uint64_t change = 0; ///< The configuration number that last altered `out`; set by the system.
     bool operator==(const data_centre_settings &) const = default;
 };
 } // namespace Configuration
--- a/Libraries/LibConfiguration/JsonReader.cpp
+++ b/Libraries/LibConfiguration/JsonReader.cpp
@@ -1,5 +1,7 @@
 #include "LibConfiguration/JsonReader.h"
 
+#include "LibConfiguration/Pointer.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
@@ -8,21 +10,6 @@
 
 namespace Configuration
 {
-static std::string escapePointerToken(std::string_view token)
-{
-    std::string escaped;
-    for (const char character : token) {
-        if (character == '~') {
-            escaped += "~0";
-        } else if (character == '/') {
-            escaped += "~1";
-        } else {
-            escaped += character;
-        }
-    }
-    return escaped;
-}
-
 json_reader::json_reader(const boost::json::value &value, std::string path, std::vector<Core::finding> &findings)
     : m_object(value.if_object())
     , m_path(std::move(path))
@@ -35,7 +22,7 @@
 
 std::string json_reader::pathOf(std::string_view name) const
 {
-    return name.empty() ? m_path : m_path + "/" + escapePointerToken(name);
+    return name.empty() ? m_path : pointerTo(m_path, name);
 }
 
 void json_reader::report(std::string_view name, std::string message)
@@ -187,7 +174,7 @@
     }
     for (const boost::json::key_value_pair &member : value->get_object()) {
         const std::string key(member.key());
-        json_reader reader(member.value(), pathOf(name) + "/" + escapePointerToken(key), m_findings);
+        json_reader reader(member.value(), pointerTo(pathOf(name), key), m_findings);
         readMember(key, reader);
         reader.reportUnknownMembers();
     }
--- a/Libraries/LibConfiguration/Parse.cpp
+++ b/Libraries/LibConfiguration/Parse.cpp
@@ -1,6 +1,7 @@
 #include "LibConfiguration/Parse.h"
 
 #include "LibConfiguration/JsonReader.h"
+#include "LibConfiguration/Limits.h"
 #include "LibConfiguration/Validate.h"
 
 #include <boost/json/parse.hpp>
@@ -84,6 +85,7 @@
     reader.readWallTime("start", rollout.start);
     reader.readWallTime("deadline", rollout.deadline);
     reader.readBoolean("taken_back", rollout.takenBack);
+    reader.readUnsigned("change", rollout.change);
 }
 
 static void readService(json_reader &reader, service_settings &service)
@@ -134,6 +136,7 @@
         dataCentre.require("region");
         dataCentre.readString("region", document.dataCentres[name].region);
         dataCentre.readBoolean("out", document.dataCentres[name].out);
+        dataCentre.readUnsigned("change", document.dataCentres[name].change);
     });
     reader.readEach("teams", [&](const std::string &name, json_reader &team) { readTeam(team, document.teams[name]); });
     reader.readEach("services", [&](const std::string &name, json_reader &service) {
@@ -144,6 +147,12 @@
 parsed_document parseDocument(std::string_view text)
 {
     parsed_document parsed;
+    if (text.size() > mostDocumentBytes) {
+        parsed.findings.push_back({"",
+                                   "has " + std::to_string(text.size()) + " bytes; at most "
+                                       + std::to_string(mostDocumentBytes) + " are allowed"});
+        return parsed;
+    }
     boost::system::error_code error;
     const boost::json::value value = boost::json::parse({text.data(), text.size()}, error);
     if (error) {
--- /dev/null
+++ b/Libraries/LibConfiguration/PatchId.cpp
@@ -0,0 +1,35 @@
+#include "LibConfiguration/PatchId.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Configuration
+{
+static constexpr std::size_t mostTokenCharacters = 64;
+
+static bool isTokenCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+}
+
+std::optional<std::uint64_t> firstNumberOf(std::string_view patchId)
+{
+    std::uint64_t number = 0;
+    const char *const end = patchId.data() + patchId.size();
+    const auto [next, error] = std::from_chars(patchId.data(), end, number);
+    if (error != std::errc() || next == end || *next != '-') {
+        return std::nullopt;
+    }
+    const std::string_view token(next + 1, static_cast<std::size_t>(end - next - 1));
+    if (token.empty() || token.size() > mostTokenCharacters
+        || !std::all_of(token.begin(), token.end(), isTokenCharacter)) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::string makePatchId(std::uint64_t firstNumber, std::string_view token)
+{
+    return std::to_string(firstNumber).append("-").append(token);
+}
+} // namespace Configuration
--- a/Libraries/LibConfiguration/RolloutSettings.h
+++ b/Libraries/LibConfiguration/RolloutSettings.h
@@ -14,6 +14,7 @@
     std::chrono::system_clock::time_point start; ///< Seconds since the epoch in the document.
     std::chrono::system_clock::time_point deadline; ///< All traffic uses toVersion by then if it is good.
     bool takenBack = false; ///< Set by operators, or by the system after a bad verdict.
+    std::uint64_t change = 0; ///< The configuration number that began it; set by the system.
     bool operator==(const rollout_settings &) const = default;
 };
 } // namespace Configuration
--- a/Libraries/LibConfiguration/Serialize.cpp
+++ b/Libraries/LibConfiguration/Serialize.cpp
@@ -72,7 +72,8 @@
             {"to_version", rollout.toVersion},
             {"start", secondsOf(rollout.start)},
             {"deadline", secondsOf(rollout.deadline)},
-            {"taken_back", rollout.takenBack}};
+            {"taken_back", rollout.takenBack},
+            {"change", rollout.change}};
 }
 
 static json::object writeService(const service_settings &service)
@@ -117,7 +118,8 @@
 {
     json::object dataCentres;
     for (const auto &[name, dataCentre] : document.dataCentres) {
-        dataCentres[name] = json::object {{"region", dataCentre.region}, {"out", dataCentre.out}};
+        dataCentres[name] =
+            json::object {{"region", dataCentre.region}, {"out", dataCentre.out}, {"change", dataCentre.change}};
     }
     json::object teams;
     for (const auto &[name, team] : document.teams) {
--- a/Libraries/LibConfiguration/Validate.cpp
+++ b/Libraries/LibConfiguration/Validate.cpp
@@ -1,49 +1,156 @@
 #include "LibConfiguration/Validate.h"
 
 #include "LibConfiguration/ConfigurationDocument.h"
+#include "LibConfiguration/Formats.h"
+#include "LibConfiguration/Limits.h"
+#include "LibConfiguration/PatchId.h"
+#include "LibConfiguration/Pointer.h"
+#include "LibConfiguration/ValidateService.h"
 
+#include <algorithm>
 #include <string>
+#include <unordered_map>
 
 namespace Configuration
 {
-static void validateReplicas(const configuration_document &document, const service_settings &service,
-                             const std::string &path, std::vector<Core::finding> &findings)
+using findings_list = std::vector<Core::finding>;
+
+static void checkName(const std::string &path, const std::string &name, findings_list &findings)
+{
+    if (!isName(name)) {
+        findings.push_back({path, "must have 1 to 128 letters, digits, dots, hyphens and underscores"});
+    }
+}
+
+static void validatePatchIds(const configuration_document &document, findings_list &findings)
 {
-    for (const auto &[name, replica] : service.replicas) {
-        if (!document.dataCentres.contains(replica.dataCentre)) {
-            findings.push_back({path + "/replicas/" + name + "/data_centre",
-                                "data centre \"" + replica.dataCentre + "\" does not exist"});
+    const std::vector<std::string> &ids = document.recentPatchIds;
+    if (ids.size() > std::min<std::uint64_t>(mostRecentPatchIds, document.number)) {
+        findings.push_back({"/recent_patch_ids",
+                            "must have at most one id for each number, and at most "
+                                + std::to_string(mostRecentPatchIds) + " in all"});
+    }
+    for (std::size_t index = 0; index < ids.size(); ++index) {
+        if (!firstNumberOf(ids[index])) {
+            findings.push_back({"/recent_patch_ids/" + std::to_string(index), "is not a patch id"});
         }
     }
 }
 
-static void validateService(const configuration_document &document, const service_settings &service,
-                            const std::string &path, std::vector<Core::finding> &findings)
+static void validateDataCentres(const configuration_document &document, findings_list &findings)
 {
-    if (!service.snapshots.contains(service.currentSnapshot)) {
-        findings.push_back({path + "/current_snapshot", "snapshot \"" + service.currentSnapshot + "\" does not exist"});
+    for (const auto &[name, dataCentre] : document.dataCentres) {
+        const std::string path = pointerTo("/data_centres", name);
+        checkName(path, name, findings);
+        if (!dataCentre.region.empty()) {
+            checkName(path + "/region", dataCentre.region, findings);
+        }
     }
-    for (const auto &[name, route] : service.routes) {
-        if (!route.idempotent && route.fanOut == fan_out::AllShards) {
-            findings.push_back(
-                {path + "/routes/" + name + "/fan_out", "must be \"one\" on a route that is not idempotent"});
+}
+
+template<typename Values>
+static void checkReferences(const std::string &path, const char *kind, const std::set<std::string> &names,
+                            const Values &values, findings_list &findings)
+{
+    for (const std::string &name : names) {
+        if (!values.contains(name)) {
+            findings.push_back({path, std::string(kind) + " \"" + name + "\" does not exist"});
         }
     }
-    validateReplicas(document, service, path, findings);
 }
 
-void validateDocument(const configuration_document &document, std::vector<Core::finding> &findings)
+static void validateTeams(const configuration_document &document, findings_list &findings)
 {
     double shares = 0.0;
+    std::unordered_map<std::string, std::string> teamOfHash;
     for (const auto &[name, team] : document.teams) {
+        const std::string path = pointerTo("/teams", name);
+        checkName(path, name, findings);
+        if (!isKeyHash(team.keyHash)) {
+            findings.push_back({path + "/key_hash", "must be a SHA-256 hash in 64 lower-case hexadecimal digits"});
+        } else if (const auto [other, added] = teamOfHash.emplace(team.keyHash, name); !added) {
+            findings.push_back({path + "/key_hash", "is also the key of team \"" + other->second + "\""});
+        }
+        checkReferences(path + "/data_centres", "data centre", team.dataCentres, document.dataCentres, findings);
+        checkReferences(path + "/services", "service", team.services, document.services, findings);
         shares += team.share;
     }
     constexpr double roundingTolerance = 1e-9;
     if (shares > 1.0 + roundingTolerance) {
         findings.push_back({"/teams", "the shares of all teams add up to more than 1"});
     }
+}
+
+/// One backend server process serves one shard in one version, so no address may stand twice.
+static void validateAddresses(const configuration_document &document, findings_list &findings)
+{
+    std::unordered_map<std::string, std::string> placeOfAddress;
+    for (const auto &[serviceName, service] : document.services) {
+        for (const auto &[name, replica] : service.replicas) {
+            const std::string path = pointerTo(pointerTo("/services", serviceName) + "/replicas", name);
+            const auto [other, added] = placeOfAddress.emplace(replica.address, path);
+            if (!added && !replica.address.empty()) {
+                findings.push_back({path + "/address", "is also the address of " + other->second});
+            }
+        }
+    }
+}
+
+static void validateOwners(const configuration_document &document, findings_list &findings)
+{
+    for (const auto &[name, service] : document.services) {
+        if (document.tier.ownersPerReplica > service.connectionLimit) {
+            findings.push_back({"/tier/owners_per_replica",
+                                "is more than the connection limit " + std::to_string(service.connectionLimit)
+                                    + " of service \"" + name + "\""});
+        }
+    }
+}
+
+void validateDocument(const configuration_document &document, findings_list &findings)
+{
+    validatePatchIds(document, findings);
+    validateOwners(document, findings);
+    validateDataCentres(document, findings);
+    validateTeams(document, findings);
     for (const auto &[name, service] : document.services) {
-        validateService(document, service, "/services/" + name, findings);
+        const std::string path = pointerTo("/services", name);
+        checkName(path, name, findings);
+        validateService(document, service, path, findings);
+    }
+    validateAddresses(document, findings);
+}
+
+static void validateNextRollout(const rollout_settings &current, const service_settings &next, const std::string &path,
+                                findings_list &findings)
+{
+    if (!next.rollout) {
+        findings.push_back({path, "must stay until a rollout with a higher number replaces it"});
+        return;
+    }
+    const rollout_settings &rollout = *next.rollout;
+    if (rollout.number < current.number) {
+        findings.push_back({path + "/number", "must not be lower than " + std::to_string(current.number)});
+    }
+    if (rollout.number != current.number) {
+        return;
+    }
+    if (rollout.fromVersion != current.fromVersion || rollout.toVersion != current.toVersion) {
+        findings.push_back({path + "/number", "must be higher than before when the versions change"});
+    }
+    if (current.takenBack && !rollout.takenBack) {
+        findings.push_back({path + "/taken_back", "must stay true; a new rollout needs a higher number"});
+    }
+}
+
+void validateSuccessor(const configuration_document &current, const configuration_document &next,
+                       findings_list &findings)
+{
+    for (const auto &[name, service] : next.services) {
+        const auto before = current.services.find(name);
+        if (before != current.services.end() && before->second.rollout) {
+            validateNextRollout(*before->second.rollout, service, pointerTo("/services", name) + "/rollout", findings);
+        }
     }
 }
 } // namespace Configuration
--- a/Libraries/LibPlatform/StoreClient.cpp
+++ b/Libraries/LibPlatform/StoreClient.cpp
@@ -3,36 +3,87 @@
 #include "LibCore/Try.h"
 #include "LibPlatform/HttpCall.h"
 
+#include <chrono>
 #include <utility>
 
 namespace Platform
 {
+static constexpr std::chrono::milliseconds longestPause {100};
+static constexpr int statusNotModified = 304;
+static constexpr int firstErrorStatus = 400;
+static constexpr int firstServerErrorStatus = 500;
+
 store_client::store_client(std::string baseUrl, Core::duration timeout)
     : m_baseUrl(std::move(baseUrl))
     , m_timeout(timeout)
+    , m_client(1)
+{
+}
+
+void store_client::interrupt()
+{
+    m_interrupted = true;
+    m_client.wakeUp();
+}
+
+call_outcome store_client::send(http_call call)
+{
+    std::optional<call_outcome> ended;
+    const std::uint64_t number =
+        m_client.start(std::move(call), [&ended](call_outcome outcome) { ended = std::move(outcome); });
+    while (!ended && !m_interrupted) {
+        m_client.run(longestPause);
+    }
+    if (!ended) {
+        m_client.cancel(number);
+        call_outcome interrupted;
+        interrupted.failure = call_failure::ConnectionLost;
+        return interrupted;
+    }
+    return std::move(*ended);
+}
+
+static std::string statusMessage(const http_response &response, const std::string &what)
 {
+    return "store answered " + std::to_string(response.status) + " to " + what;
 }
 
-static Core::result<http_response> checkOutcome(call_outcome outcome, const std::string &what)
+/// Maps the end of a call that changes nothing to an error, or returns its response.
+static Core::result<http_response> checkRead(call_outcome outcome, const std::string &what)
 {
-    switch (outcome.failure) {
-    case call_failure::None:
-        break;
-    case call_failure::ConnectFailed:
+    if (outcome.failure == call_failure::TimedOut) {
+        return Core::error {Core::error_code::TimedOut, "store gave no answer in time to " + what};
+    }
+    if (outcome.failure != call_failure::None) {
         return Core::error {Core::error_code::Unavailable, "store cannot be reached to " + what};
-    case call_failure::ConnectionLost:
-    case call_failure::TimedOut:
-        return Core::error {Core::error_code::TimedOut, "store gave no answer to " + what};
     }
     if (outcome.response.status == 404) {
         return Core::error {Core::error_code::NotFound, "store has no object to " + what};
     }
-    if (outcome.response.status == 409 || outcome.response.status == 412) {
+    if (outcome.response.status >= firstErrorStatus) {
+        return Core::error {Core::error_code::Unavailable, statusMessage(outcome.response, what)};
+    }
+    return std::move(outcome.response);
+}
+
+/// Maps the end of a write to an error, or returns its response. A server error leaves open what became of the write.
+static Core::result<http_response> checkWrite(call_outcome outcome, const std::string &what)
+{
+    if (outcome.failure == call_failure::ConnectFailed) {
+        return Core::error {Core::error_code::Unavailable, "store cannot be reached to " + what};
+    }
+    if (outcome.failure != call_failure::None) {
+        return Core::error {Core::error_code::TimedOut, "store gave no answer to " + what};
+    }
+    const int status = outcome.response.status;
+    if (status == 409 || status == 412) {
         return Core::error {Core::error_code::Conflict, "store holds another version than expected to " + what};
     }
-    if (outcome.response.status >= 500) {
-        return Core::error {Core::error_code::Unavailable,
-                            "store answered " + std::to_string(outcome.response.status) + " to " + what};
+    if (status >= firstServerErrorStatus) {
+        return Core::error {Core::error_code::TimedOut, statusMessage(outcome.response, what)};
+    }
+    if (status >= firstErrorStatus) {
+        return Core::error {Core::error_code::Unavailable, statusMessage(outcome.response, what)};
     }
     return std::move(outcome.response);
 }
@@ -42,7 +93,7 @@
     http_call call;
     call.url = m_baseUrl + "/objects/" + key;
     call.timeout = m_timeout;
-    http_response response = TRY(checkOutcome(m_client.send(std::move(call)), "read \"" + key + "\""));
+    http_response response = TRY(checkRead(send(std::move(call)), "read \"" + key + "\""));
     return stored_object {response.headers["etag"], std::move(response.body)};
 }
 
@@ -53,8 +104,8 @@
     http_call call;
     call.url = m_baseUrl + "/objects/" + key + "?watch=" + knownTag + "&timeout_ms=" + std::to_string(milliseconds);
     call.timeout = longest + m_timeout;
-    http_response response = TRY(checkOutcome(m_client.send(std::move(call)), "watch \"" + key + "\""));
-    if (response.status == 304) {
+    http_response response = TRY(checkRead(send(std::move(call)), "watch \"" + key + "\""));
+    if (response.status == statusNotModified) {
         return std::optional<stored_object>();
     }
     return std::optional<stored_object>(stored_object {response.headers["etag"], std::move(response.body)});
@@ -71,7 +122,7 @@
     call.body = body;
     call.timeout = m_timeout;
     call.reuse = connection_reuse::Forbidden;
-    http_response response = TRY(checkOutcome(m_client.send(std::move(call)), "write \"" + key + "\""));
+    http_response response = TRY(checkWrite(send(std::move(call)), "write \"" + key + "\""));
     return response.headers["etag"];
 }
 } // namespace Platform
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -2,15 +2,18 @@
 
 #include "LibCore/Result.h"
 #include "LibCore/Time.h"
-#include "LibPlatform/BlockingHttpClient.h"
+#include "LibPlatform/CallOutcome.h"
+#include "LibPlatform/HttpClient.h"
 #include "LibPlatform/StoredObject.h"
 
+#include <atomic>
 #include <optional>
 #include <string>
 
 namespace Platform
 {
-/// A client of the platform's object store. Belongs to one thread; each call waits for its answer or its timeout.
+/// A client of the platform's object store. Belongs to one thread, but for interrupt(); each call waits for its answer
+/// or its timeout.
 class store_client
 {
 public:
@@ -23,13 +26,19 @@
     [[nodiscard]] Core::result<std::optional<stored_object>> watch(const std::string &key, const std::string &knownTag,
                                                                    Core::duration longest);
     /// Writes an object if its tag is still `expectedTag` (empty: if it does not exist) and returns the new tag.
-    /// Errors: Conflict, Unavailable, and TimedOut, after which the write may have taken effect.
+    /// Errors: Conflict and Unavailable, after which this write certainly has no effect, and TimedOut, after which it
+    /// may have taken effect or still do so.
     [[nodiscard]] Core::result<std::string> write(const std::string &key, const std::string &body,
                                                   const std::string &expectedTag);
+    /// Ends the running call, and each later one, with Unavailable (a write with TimedOut); from any thread.
+    void interrupt();
 
 private:
+    call_outcome send(http_call call);
+
     std::string m_baseUrl;
     Core::duration m_timeout;
-    blocking_http_client m_client;
+    std::atomic<bool> m_interrupted {false};
+    http_client m_client;
 };
 } // namespace Platform
--- a/Services/ragwortcrankd/ActiveConfiguration.cpp
+++ b/Services/ragwortcrankd/ActiveConfiguration.cpp
@@ -1,5 +1,6 @@
 #include "ActiveConfiguration.h"
 
+#include "LibConfiguration/Adoption.h"
 #include "LibConfiguration/ConfigurationDocument.h"
 
 #include <utility>
@@ -27,7 +28,7 @@
                                  std::string text)
 {
     const std::scoped_lock lock(m_mutex);
-    if (document->number <= m_document->number) {
+    if (!Configuration::shouldAdopt(m_document->number, document->number)) {
         return false;
     }
     m_document = std::move(document);
--- a/Services/ragwortcrankd/AdoptConfiguration.cpp
+++ b/Services/ragwortcrankd/AdoptConfiguration.cpp
@@ -1,7 +1,7 @@
 #include "AdoptConfiguration.h"
 
 #include "DaemonState.h"
-#include "LibConfiguration/Parse.h"
+#include "LibConfiguration/Adoption.h"
 #include "LibObservability/Log.h"
 
 #include <memory>
@@ -10,7 +10,7 @@
 bool adoptConfiguration(daemon_state &daemon, const std::string &text)
 {
     using Observability::log_level;
-    Configuration::parsed_document parsed = Configuration::parseDocument(text);
+    Configuration::parsed_document parsed = Configuration::readOffered(text);
     if (!parsed.findings.empty()) {
         Observability::logEvent(log_level::Error, "configuration_invalid",
                                 {{"path", parsed.findings.front().path}, {"message", parsed.findings.front().message}});
--- a/Services/ragwortcrankd/ConfigurationWatcher.h
+++ b/Services/ragwortcrankd/ConfigurationWatcher.h
@@ -1,29 +1,47 @@
 #pragma once
 
+#include "LibConfiguration/WatchState.h"
+#include "LibCore/RandomEngine.h"
+#include "LibCore/Time.h"
 #include "LibPlatform/StoreClient.h"
 
-#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
 #include <thread>
 
+namespace Configuration
+{
+struct watch_view;
+}
+
 struct daemon_state;
 
 /// Keeps the configuration in force up to date from the platform's store, on a thread of its own.
 class configuration_watcher
 {
 public:
-    explicit configuration_watcher(daemon_state &daemon);
+    configuration_watcher(daemon_state &daemon, std::uint64_t seed);
     ~configuration_watcher();
     configuration_watcher(const configuration_watcher &) = delete;
     configuration_watcher &operator=(const configuration_watcher &) = delete;
 
-    /// Ends the thread within one watch.
+    /// Ends the running call and the thread.
     void stop();
 
 private:
     void run();
+    Configuration::watch_view view() const;
+    bool callStore(const Configuration::watch_view &view);
+    void waitFor(Core::duration wait, bool untilRankHoldsWatch);
 
     daemon_state &m_daemon;
     Platform::store_client m_store;
-    std::atomic<bool> m_stopping {false};
+    Configuration::watch_state m_state;
+    Core::random_engine m_random;
+    std::string m_tag = "none"; ///< Of the stored document last read.
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false; ///< Guarded by m_mutex.
     std::thread m_thread;
 };
--- a/Services/ragwortcrankd/DaemonState.h
+++ b/Services/ragwortcrankd/DaemonState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ActiveConfiguration.h"
+#include "ControlHooks.h"
 #include "ServiceShards.h"
 #include "Settings.h"
 
@@ -11,4 +12,5 @@
     settings daemonSettings; ///< Not changed after the start.
     active_configuration configuration;
     service_shards services;
+    control_hooks hooks; ///< Set before the threads start.
 };
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -85,7 +85,7 @@
         workers.push_back(std::make_unique<query_worker>(daemon, seedSource()));
     }
     patch_writer writer(daemon);
-    configuration_watcher watcher(daemon);
+    configuration_watcher watcher(daemon, seedSource());
     caller_api callers(daemon, workers, seedSource());
     operator_api operators(daemon, writer);
     Platform::http_server_options options;
--- a/Services/ragwortcrankd/OperatorApi.cpp
+++ b/Services/ragwortcrankd/OperatorApi.cpp
@@ -3,20 +3,19 @@
 #include "AnswerCodec.h"
 #include "BearerKey.h"
 #include "DaemonState.h"
+#include "LibConfiguration/ChangeReport.h"
+#include "LibConfiguration/ConfigurationDocument.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibTeams/Authenticate.h"
+#include "NumbersInForce.h"
+#include "OperatorCodec.h"
 #include "PatchWriter.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <charconv>
 #include <memory>
 #include <optional>
 #include <utility>
 
-namespace json = boost::json;
-
 operator_api::operator_api(daemon_state &daemon, patch_writer &writer)
     : m_daemon(daemon)
     , m_writer(writer)
@@ -37,6 +36,20 @@
         patchConfiguration(request, std::move(responder));
         return;
     }
+    const std::string changes = "/v1/operator/changes/";
+    if (request.path.starts_with(changes) && request.method == "GET") {
+        reportChange(request.path.substr(changes.size()), std::move(responder));
+        return;
+    }
+    if (request.path == "/v1/operator/status" && request.method == "GET") {
+        responder.respond(
+            encodeStatus(m_daemon.daemonSettings, m_daemon.configuration.current()->number, numbersInForce(m_daemon)));
+        return;
+    }
+    if (request.path == "/v1/operator/accounts" && request.method == "GET") {
+        reportAccounts(std::move(responder));
+        return;
+    }
     responder.respond(encodeError(404, "no operator request " + request.method + " " + request.path));
 }
 
@@ -60,26 +73,26 @@
     return number;
 }
 
-static Platform::http_response encodeOutcome(const Core::result<Configuration::patch_outcome> &outcome)
+void operator_api::reportChange(const std::string &numberText, Platform::http_responder responder)
 {
-    if (!outcome) {
-        const bool lost = outcome.error().code == Core::error_code::TimedOut;
-        return encodeError(lost ? 504 : 503, outcome.error().message);
-    }
-    const Configuration::patch_outcome &value = outcome.value();
-    switch (value.verdict) {
-    case Configuration::patch_verdict::Applied:
-    case Configuration::patch_verdict::AlreadyApplied: {
-        Platform::http_response response;
-        response.body = json::serialize(json::object {{"number", value.number}, {"state", "accepted"}});
-        return response;
+    const std::optional<std::uint64_t> number = parseNumber(numberText);
+    if (!number) {
+        responder.respond(encodeError(400, "\"" + numberText + "\" is not a change number"));
+        return;
     }
-    case Configuration::patch_verdict::StaleNumber:
-        return encodeError(409, "the base number is stale; the current number is " + std::to_string(value.number));
-    case Configuration::patch_verdict::Invalid:
-        break;
+    responder.respond(encodeChange(
+        Configuration::reportChange(*number, *m_daemon.configuration.current(), numbersInForce(m_daemon))));
+}
+
+void operator_api::reportAccounts(Platform::http_responder responder)
+{
+    if (!m_daemon.hooks.accountsText) {
+        responder.respond(encodeError(503, "accounts are not kept by this daemon"));
+        return;
     }
-    return encodeError(422, "the patch is not valid", value.findings);
+    Platform::http_response response;
+    response.body = m_daemon.hooks.accountsText();
+    responder.respond(response);
 }
 
 void operator_api::patchConfiguration(const Platform::http_request &request, Platform::http_responder responder)
@@ -93,8 +106,7 @@
         return;
     }
     const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
-    m_writer.submit({*number, patchId->second, request.body},
-                    [shared](const Core::result<Configuration::patch_outcome> &outcome) {
-                        shared->respond(encodeOutcome(outcome));
-                    });
+    m_writer.submit({*number, patchId->second, request.body}, [shared](const Configuration::patch_answer &answer) {
+        shared->respond(encodePatchAnswer(answer));
+    });
 }
--- a/Services/ragwortcrankd/OperatorApi.h
+++ b/Services/ragwortcrankd/OperatorApi.h
@@ -2,6 +2,8 @@
 
 #include "LibPlatform/HttpResponder.h"
 
+#include <string>
+
 namespace Platform
 {
 struct http_request;
@@ -20,6 +22,8 @@
 
 private:
     void readConfiguration(Platform::http_responder responder);
+    void reportChange(const std::string &numberText, Platform::http_responder responder);
+    void reportAccounts(Platform::http_responder responder);
     void patchConfiguration(const Platform::http_request &request, Platform::http_responder responder);
 
     daemon_state &m_daemon;
--- a/Services/ragwortcrankd/PatchWriter.cpp
+++ b/Services/ragwortcrankd/PatchWriter.cpp
@@ -2,11 +2,10 @@
 
 #include "AdoptConfiguration.h"
 #include "DaemonState.h"
-#include "LibConfiguration/ApplyPatch.h"
-#include "LibCore/Try.h"
+#include "LibConfiguration/PatchEvents.h"
+#include "LibConfiguration/PatchTransaction.h"
 
 static constexpr std::chrono::seconds storeTimeout {2};
-static constexpr int mostReadBacks = 3;
 
 patch_writer::patch_writer(daemon_state &daemon)
     : m_daemon(daemon)
@@ -55,32 +54,49 @@
     }
 }
 
-Core::result<Configuration::patch_outcome> patch_writer::write(const Configuration::patch_request &request)
+static Configuration::write_outcome outcomeOf(const Core::result<std::string> &written)
 {
-    Core::result<Platform::stored_object> current = m_store.read("configuration");
-    if (!current && current.error().code != Core::error_code::NotFound) {
-        return Core::error {Core::error_code::Unavailable, current.error().message};
+    using Configuration::write_outcome;
+    if (written) {
+        return write_outcome::Written;
     }
-    for (int readBack = 0; readBack < mostReadBacks; ++readBack) {
-        const Platform::stored_object object = current ? current.value() : Platform::stored_object();
-        Configuration::patch_outcome outcome = Configuration::applyPatch(object.body, request);
-        if (outcome.verdict != Configuration::patch_verdict::Applied) {
-            return outcome;
-        }
-        const Core::result<std::string> written = m_store.write("configuration", outcome.text, object.tag);
-        if (written) {
-            adoptConfiguration(m_daemon, outcome.text);
-            return outcome;
-        }
-        if (written.error().code == Core::error_code::Unavailable) {
-            return written.error();
-        }
-        // Another writer was faster, or the reply was lost: the stored document tells by its patch ids.
-        current = m_store.read("configuration");
-        if (!current) {
-            return Core::error {Core::error_code::TimedOut,
-                                "the patch may have been accepted; ask again with the same patch id"};
+    switch (written.error().code) {
+    case Core::error_code::Conflict:
+        return write_outcome::Conflict;
+    case Core::error_code::Unavailable:
+        return write_outcome::NotSent;
+    default:
+        return write_outcome::NoReply;
+    }
+}
+
+static Configuration::patch_step readDocument(Platform::store_client &store,
+                                              Configuration::patch_transaction &transaction)
+{
+    const Core::result<Platform::stored_object> object = store.read("configuration");
+    if (object) {
+        return Configuration::onRead(transaction, object.value().body, object.value().tag);
+    }
+    if (object.error().code == Core::error_code::NotFound) {
+        return Configuration::onRead(transaction, "", "");
+    }
+    return Configuration::onReadFailed(transaction);
+}
+
+Configuration::patch_answer patch_writer::write(const Configuration::patch_request &request)
+{
+    Configuration::patch_transaction transaction;
+    Configuration::patch_step step = Configuration::startTransaction(transaction, request);
+    while (!step.answer) {
+        if (step.text) {
+            const Core::result<std::string> written = m_store.write("configuration", *step.text, step.expectedTag);
+            step = Configuration::onWritten(transaction, outcomeOf(written));
+        } else {
+            step = readDocument(m_store, transaction);
         }
     }
-    return Core::error {Core::error_code::Unavailable, "the stored document keeps changing; try again"};
+    if (!step.answer->text.empty()) {
+        adoptConfiguration(m_daemon, step.answer->text);
+    }
+    return std::move(*step.answer);
 }
--- a/Services/ragwortcrankd/PatchWriter.h
+++ b/Services/ragwortcrankd/PatchWriter.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "LibConfiguration/PatchOutcome.h"
+#include "LibConfiguration/PatchAnswer.h"
 #include "LibConfiguration/PatchRequest.h"
-#include "LibCore/Result.h"
 #include "LibPlatform/StoreClient.h"
 
 #include <condition_variable>
@@ -18,7 +17,7 @@
 class patch_writer
 {
 public:
-    using completion = std::function<void(Core::result<Configuration::patch_outcome>)>;
+    using completion = std::function<void(const Configuration::patch_answer &)>;
 
     explicit patch_writer(daemon_state &daemon);
     ~patch_writer();
@@ -26,13 +25,12 @@
     patch_writer &operator=(const patch_writer &) = delete;
 
     /// Hands over a patch; from any thread. The completion runs on the writer's thread.
-    /// Errors: Unavailable if nothing was written, TimedOut if that could not be found out.
     void submit(Configuration::patch_request request, completion done);
     void stop();
 
 private:
     void run();
-    Core::result<Configuration::patch_outcome> write(const Configuration::patch_request &request);
+    Configuration::patch_answer write(const Configuration::patch_request &request);
 
     daemon_state &m_daemon;
     Platform::store_client m_store;
--- /dev/null
+++ b/Tests/LibConfiguration/TestWatchPlan.cpp
@@ -0,0 +1,73 @@
+#include "LibConfiguration/WatchCandidate.h"
+#include "LibConfiguration/WatchPlan.h"
+#include "LibConfiguration/WatchState.h"
+#include "LibConfiguration/WatchView.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+
+TEST(WatchPlan, EachRegionHasAWatcherFirst)
+{
+    const auto order = Configuration::watchOrder({{"a", "r1"}, {"b", "r1"}, {"c", "r1"}, {"d", "r2"}});
+    EXPECT_EQ(order[0].virtualMachine, "a");
+    EXPECT_EQ(order[1].virtualMachine, "d");
+    EXPECT_EQ(order[2].virtualMachine, "b");
+}
+
+/// Store calls a second of a fleet at rest, from the waits that each VM chooses.
+static double callsPerSecond(std::size_t fleet)
+{
+    Core::random_engine random(1);
+    double calls = 0.0;
+    for (std::size_t rank = 0; rank < fleet; ++rank) {
+        const Configuration::watch_view view {rank, fleet, 1};
+        Configuration::watch_state state;
+        constexpr int samples = 50;
+        Core::duration spent {};
+        for (int sample = 0; sample < samples; ++sample) {
+            spent += Configuration::waitAfterSuccess(state, view, random);
+            spent += Configuration::holdsWatch(view) ? Core::duration(Configuration::longestWatch) : Core::duration();
+        }
+        calls += samples / Core::toSeconds(spent);
+    }
+    return calls;
+}
+
+TEST(WatchPlan, StoreCallsGrowSlowerThanTheFleet)
+{
+    const double today = callsPerSecond(9);
+    const double middle = callsPerSecond(59);
+    const double target = callsPerSecond(590);
+    std::cout << "store calls a second at rest: 9: " << today << ", 59: " << middle << ", 590: " << target << '\n';
+    constexpr double muchSlower = 0.1;
+    EXPECT_LT(middle / today, 59.0 / 9.0);
+    EXPECT_LT(target / today, muchSlower * 590.0 / 9.0);
+    EXPECT_LT(target / middle, muchSlower * 590.0 / 59.0 + 1.0);
+}
+
+TEST(WatchPlan, NoStampedeWhenTheStoreReturns)
+{
+    // Every call fails for an hour; each VM's first call after it must fall into a second of its own, or nearly so.
+    constexpr std::size_t fleet = 590;
+    Core::random_engine random(2);
+    const Core::duration outage = std::chrono::hours(1);
+    std::map<std::int64_t, int> callsInSecond;
+    for (std::size_t rank = 0; rank < fleet; ++rank) {
+        const Configuration::watch_view view {rank, fleet, 1};
+        Configuration::watch_state state;
+        Core::duration now {};
+        while (now < outage) {
+            now += Configuration::waitAfterFailure(state, view, random);
+        }
+        ++callsInSecond[std::chrono::duration_cast<std::chrono::seconds>(now - outage).count()];
+    }
+    int most = 0;
+    for (const auto &[second, calls] : callsInSecond) {
+        most = std::max(most, calls);
+    }
+    std::cout << "most first calls in one second after an outage of an hour, 590 VMs: " << most << '\n';
+    EXPECT_LE(most, 20) << "a hundredth of what the store takes";
+}
--- a/Utilities/ragwortcrankctl/ConfigCommands.cpp
+++ b/Utilities/ragwortcrankctl/ConfigCommands.cpp
@@ -1,6 +1,7 @@
 #include "ConfigCommands.h"
 
 #include "LibConfiguration/Parse.h"
+#include "LibConfiguration/PatchId.h"
 #include "OperatorClient.h"
 
 #include <boost/json/parse.hpp>
@@ -65,7 +66,7 @@
     }
     std::random_device source;
     const std::string id =
-        FLAGS_patch_id.empty() ? "patch-" + std::to_string(source()) + "-" + std::to_string(source()) : FLAGS_patch_id;
+        FLAGS_patch_id.empty() ? Configuration::makePatchId(FLAGS_base, std::to_string(source())) : FLAGS_patch_id;
     return printOutcome(client.send(
         "PATCH", "/v1/operator/configuration?base=" + std::to_string(FLAGS_base) + "&patch_id=" + id, *patch));
 }
