LibConfiguration: Split the check that a replica's shard is known

Cause: clang refuses a lambda that captures a structured binding in C++20. Change: a function of its own. Conclusion: no change of behaviour.

--- a/Libraries/LibConfiguration/ValidateService.cpp
+++ b/Libraries/LibConfiguration/ValidateService.cpp
@@ -48,6 +48,12 @@
     }
 }
 
+static bool isInASnapshot(const service_settings &service, const std::string &shard)
+{
+    return std::any_of(service.snapshots.begin(), service.snapshots.end(),
+                       [&](const auto &snapshot) { return snapshot.second.shardWeights.contains(shard); });
+}
+
 static void validateReplicas(const configuration_document &document, const service_settings &service,
                              const std::string &path, findings_list &findings)
 {
@@ -64,10 +70,7 @@
             findings.push_back(
                 {place + "/version", "must have 1 to 128 letters, digits, dots, hyphens and underscores"});
         }
-        const bool known = std::any_of(service.snapshots.begin(), service.snapshots.end(), [&](const auto &snapshot) {
-            return snapshot.second.shardWeights.contains(replica.shard);
-        });
-        if (!known) {
+        if (!isInASnapshot(service, replica.shard)) {
             findings.push_back({place + "/shard", "shard \"" + replica.shard + "\" is in no snapshot"});
         }
     }
