--- a/Libraries/LibConfiguration/ApplyPatch.cpp
+++ b/Libraries/LibConfiguration/ApplyPatch.cpp
@@ -154,8 +154,8 @@
     if (!firstNumber || *firstNumber > request.baseNumber) {
         return invalid("",
                        "patch id \"" + request.patchId
-                           + "\" must be the number it was first made against, a hyphen, and 1 to 64 letters a to z "
-                             "and digits");
+                           + "\" must be the number it was first made against, a hyphen, and 1 to 64 letters a to z, "
+                             "digits and hyphens");
     }
     if (const std::optional<std::uint64_t> made = numberMadeBy(current.document, request.patchId)) {
         outcome.verdict = patch_verdict::AlreadyApplied;
--- a/Libraries/LibConfiguration/PatchId.cpp
+++ b/Libraries/LibConfiguration/PatchId.cpp
@@ -9,7 +9,7 @@
 
 static bool isTokenCharacter(char character)
 {
-    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
 }
 
 std::optional<std::uint64_t> firstNumberOf(std::string_view patchId)
--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -200,7 +200,7 @@
     int status = 0;
     call("PATCH",
          "http://" + daemonAddress(daemon) + "/v1/operator/configuration?base=" + std::to_string(base)
-             + "&patch_id=" + patchId,
+             + "&patch_id=" + std::to_string(base) + "-" + patchId,
          json::serialize(patch), status);
     return status;
 }
