LibQuery: Keep the answer of one non-idempotent request from another with its id

Cause: two teams, or two requests of one, could use the same id, and the second would have been given the answer of the first. Change: each entry keeps a fingerprint of what was asked and by whom; another request with the id is refused as not run. Test seen to fail without the comparison (Replay instead of Mismatch). Conclusion: each caller receives the answer to its own request only.

--- a/Libraries/LibQuery/OnceDecision.h
+++ b/Libraries/LibQuery/OnceDecision.h
@@ -10,6 +10,7 @@
     NotRun, ///< It was refused for good, or there is no room to remember it.
     AskNamedDaemon, ///< Another daemon may have started it; only that one can tell.
     Unknown, ///< Too old: what became of it may have been forgotten.
+    Mismatch, ///< The id was used for another request, perhaps by another team; this one did not run.
     Malformed, ///< The id does not name a daemon, or its time lies in the future.
 };
 } // namespace Query
--- a/Libraries/LibQuery/OnceEvents.cpp
+++ b/Libraries/LibQuery/OnceEvents.cpp
@@ -21,21 +21,20 @@
     }
 }
 
-static std::optional<once_decision> decisionOf(const once_registry &registry, const std::string &requestId)
+static std::optional<once_decision> decisionOf(const once_registry &registry, const std::string &requestId,
+                                               std::uint64_t fingerprint)
 {
     const auto found = registry.entries.find(requestId);
     if (found == registry.entries.end()) {
         return std::nullopt;
     }
-    switch (found->second.progress) {
-    case once_progress::Running:
-        return once_decision::Wait;
-    case once_progress::Finished:
-        return once_decision::Replay;
-    case once_progress::Refused:
+    if (found->second.progress == once_progress::Refused) {
         return once_decision::NotRun;
     }
-    return once_decision::Unknown;
+    if (found->second.fingerprint != fingerprint) {
+        return once_decision::Mismatch;
+    }
+    return found->second.progress == once_progress::Running ? once_decision::Wait : once_decision::Replay;
 }
 
 static bool isOwn(const once_registry &registry, const request_identity &identity)
@@ -44,10 +43,10 @@
 }
 
 static void remember(once_registry &registry, const std::string &requestId, const request_identity &identity,
-                     once_progress progress)
+                     std::uint64_t fingerprint, once_progress progress)
 {
     const Core::wall_time forgetAt = identity.madeAt + onceWindow;
-    registry.entries[requestId] = once_entry {progress, forgetAt, 0, {}};
+    registry.entries[requestId] = once_entry {progress, fingerprint, forgetAt, 0, {}};
     registry.forgetting.emplace(forgetAt, requestId);
 }
 
@@ -63,7 +62,8 @@
     return std::nullopt;
 }
 
-once_decision beginOnce(once_registry &registry, const std::string &requestId, Core::wall_time now)
+once_decision beginOnce(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
+                        Core::wall_time now)
 {
     const std::optional<request_identity> identity = parseRequestIdentity(requestId);
     if (!identity) {
@@ -73,7 +73,7 @@
         return once_decision::AskNamedDaemon;
     }
     forgetOldRequests(registry, now);
-    if (const auto known = decisionOf(registry, requestId)) {
+    if (const auto known = decisionOf(registry, requestId, fingerprint)) {
         return *known;
     }
     if (const auto tooOld = checkAge(*identity, now)) {
@@ -82,11 +82,12 @@
     if (registry.entries.size() >= registry.mostEntries) {
         return once_decision::NotRun;
     }
-    remember(registry, requestId, *identity, once_progress::Running);
+    remember(registry, requestId, *identity, fingerprint, once_progress::Running);
     return once_decision::Start;
 }
 
-once_decision resolveOnce(once_registry &registry, const std::string &requestId, Core::wall_time now)
+once_decision resolveOnce(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
+                          Core::wall_time now)
 {
     const std::optional<request_identity> identity = parseRequestIdentity(requestId);
     if (!identity) {
@@ -96,7 +97,7 @@
         return once_decision::Unknown; // Asked about an earlier life of this VM, which may have run it.
     }
     forgetOldRequests(registry, now);
-    if (const auto known = decisionOf(registry, requestId)) {
+    if (const auto known = decisionOf(registry, requestId, fingerprint)) {
         return *known;
     }
     if (const auto tooOld = checkAge(*identity, now)) {
@@ -105,7 +106,7 @@
     if (registry.entries.size() >= registry.mostEntries) {
         return once_decision::Unknown; // Without a record of the refusal a late arrival could still run.
     }
-    remember(registry, requestId, *identity, once_progress::Refused);
+    remember(registry, requestId, *identity, fingerprint, once_progress::Refused);
     return once_decision::NotRun;
 }
 
--- a/Tests/LibQuery/TestOnceEvents.cpp
+++ b/Tests/LibQuery/TestOnceEvents.cpp
@@ -37,43 +37,43 @@
 TEST_F(once_events, RepeatWaitsThenGetsTheSameAnswer)
 {
     const std::string id = idFor(0xabc, now);
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::Start);
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::Wait);
-    EXPECT_EQ(Query::resolveOnce(registry, id, now), once_decision::Wait);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Start);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Wait);
+    EXPECT_EQ(Query::resolveOnce(registry, id, 7, now), once_decision::Wait);
     Query::finishOnce(registry, id, 200, "done");
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::Replay);
-    EXPECT_EQ(Query::resolveOnce(registry, id, now), once_decision::Replay);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Replay);
+    EXPECT_EQ(Query::resolveOnce(registry, id, 7, now), once_decision::Replay);
 }
 
 TEST_F(once_events, QuestionBeforeTheRequestRefusesItForGood)
 {
     const std::string id = idFor(0xabc, now);
-    EXPECT_EQ(Query::resolveOnce(registry, id, now), once_decision::NotRun);
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::NotRun) << "the late arrival must not start";
+    EXPECT_EQ(Query::resolveOnce(registry, id, 7, now), once_decision::NotRun);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::NotRun) << "the late arrival must not start";
 }
 
 TEST_F(once_events, RequestOfAnotherLifeNeverStartsHere)
 {
-    EXPECT_EQ(Query::beginOnce(registry, idFor(0xabd, now), now), once_decision::AskNamedDaemon);
-    EXPECT_EQ(Query::resolveOnce(registry, idFor(0xabd, now), now), once_decision::Unknown);
+    EXPECT_EQ(Query::beginOnce(registry, idFor(0xabd, now), 7, now), once_decision::AskNamedDaemon);
+    EXPECT_EQ(Query::resolveOnce(registry, idFor(0xabd, now), 7, now), once_decision::Unknown);
 }
 
 TEST_F(once_events, NothingIsForgottenWhileItsIdMayStillStart)
 {
     const std::string id = idFor(0xabc, now);
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::Start);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Start);
     Query::finishOnce(registry, id, 200, "done");
     const auto lastMoment = now + Query::onceWindow - std::chrono::nanoseconds(1);
-    EXPECT_EQ(Query::beginOnce(registry, id, lastMoment), once_decision::Replay);
-    EXPECT_EQ(Query::beginOnce(registry, id, now + Query::onceWindow), once_decision::Unknown);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, lastMoment), once_decision::Replay);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now + Query::onceWindow), once_decision::Unknown);
     EXPECT_TRUE(registry.entries.empty());
 }
 
 TEST_F(once_events, RunningRequestIsRememberedBeyondTheWindow)
 {
     const std::string id = idFor(0xabc, now);
-    EXPECT_EQ(Query::beginOnce(registry, id, now), once_decision::Start);
-    EXPECT_EQ(Query::beginOnce(registry, id, now + 2 * Query::onceWindow), once_decision::Wait);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Start);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now + 2 * Query::onceWindow), once_decision::Wait);
     Query::finishOnce(registry, id, 200, "done");
     Query::forgetOldRequests(registry, now + 2 * Query::onceWindow);
     EXPECT_TRUE(registry.entries.empty());
@@ -82,6 +82,15 @@
 TEST_F(once_events, FullRegistryNeverForgetsAndNeverGuesses)
 {
     registry.mostEntries = 0;
-    EXPECT_EQ(Query::beginOnce(registry, idFor(0xabc, now), now), once_decision::NotRun);
-    EXPECT_EQ(Query::resolveOnce(registry, idFor(0xabc, now), now), once_decision::Unknown);
+    EXPECT_EQ(Query::beginOnce(registry, idFor(0xabc, now), 7, now), once_decision::NotRun);
+    EXPECT_EQ(Query::resolveOnce(registry, idFor(0xabc, now), 7, now), once_decision::Unknown);
+}
+
+TEST_F(once_events, IdOfAnotherRequestNeverMeetsItsAnswer)
+{
+    const std::string id = idFor(0xabc, now);
+    EXPECT_EQ(Query::beginOnce(registry, id, 7, now), once_decision::Start);
+    Query::finishOnce(registry, id, 200, "done");
+    EXPECT_EQ(Query::beginOnce(registry, id, 8, now), once_decision::Mismatch);
+    EXPECT_EQ(Query::resolveOnce(registry, id, 8, now), once_decision::Mismatch);
 }
