LibRollout: Judge a new version by evidence that merges by a join

Cause: a rollout had no share, no evidence and no verdict; every query used the old version.

Change: each daemon counts faulty answers (errors, or slow against the old version at the same daemon and route) together with the share by which each query was drawn. If the new version were like the old one, a faulty answer would be its own with just that probability, whatever the time, load, route or data centre, so that a Chernoff bound over the sums is a valid test without matching the samples. Rows merge by maxima per incarnation; the share is a function of document, time and evidence; the verdict stays; the closing patches have ids that repeat.

Conclusion: pure part ready; the daemon still uses the old version until evidence is wired in.

--- a/Libraries/LibRollout/ChooseVersion.cpp
+++ b/Libraries/LibRollout/ChooseVersion.cpp
@@ -2,13 +2,29 @@
 
 #include "LibConfiguration/ServiceSettings.h"
 
+#include <cstdint>
+
 namespace Rollout
 {
-std::string chooseVersion(const Configuration::service_settings &service, double newShare, double draw)
+/// Maps a request id evenly to 0 to 1; the rollout's number makes each rollout draw anew.
+static double drawFor(std::string_view requestId, std::uint64_t rollout)
+{
+    std::uint64_t hash = 14695981039346656037ULL ^ rollout;
+    for (const char letter : requestId) {
+        hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+    }
+    hash = (hash ^ (hash >> 33U)) * 0xFF51AFD7ED558CCDULL;
+    hash = (hash ^ (hash >> 33U)) * 0xC4CEB9FE1A85EC53ULL;
+    constexpr double range = 18446744073709551616.0;
+    return static_cast<double>(hash ^ (hash >> 33U)) / range;
+}
+
+std::string chooseVersion(const Configuration::service_settings &service, double newShare, std::string_view requestId)
 {
     if (!service.rollout) {
         return service.version;
     }
-    return draw < newShare ? service.rollout->toVersion : service.rollout->fromVersion;
+    const bool useNew = drawFor(requestId, service.rollout->number) < newShare;
+    return useNew ? service.rollout->toVersion : service.rollout->fromVersion;
 }
 } // namespace Rollout
--- a/Libraries/LibRollout/ChooseVersion.h
+++ b/Libraries/LibRollout/ChooseVersion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 namespace Configuration
 {
@@ -9,7 +10,8 @@
 
 namespace Rollout
 {
-/// Returns the version that a query uses, given the new version's share of traffic (0 to 1) and a uniform draw (0 to
-/// 1).
-[[nodiscard]] std::string chooseVersion(const Configuration::service_settings &service, double newShare, double draw);
+/// Returns the version that a query uses, given the new version's share of traffic (0 to 1). The choice depends on the
+/// request id alone, so that a retry at another daemon uses the same version.
+[[nodiscard]] std::string chooseVersion(const Configuration::service_settings &service, double newShare,
+                                        std::string_view requestId);
 } // namespace Rollout
--- /dev/null
+++ b/Libraries/LibRollout/CloseRollout.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibRollout/ClosingPatch.h"
+
+#include <optional>
+#include <string>
+
+namespace Configuration
+{
+struct service_settings;
+}
+
+namespace Rollout
+{
+struct rollout_evidence;
+
+/// Returns the patch that records the end of a service's rollout, if it has ended and the document does not say so yet.
+/// It must be made against the number of the document that `service` is from: of two daemons that disagree on the end
+/// only one can then write, and the other finds the rollout closed.
+[[nodiscard]] std::optional<closing_patch> closeRollout(const std::string &name,
+                                                        const Configuration::service_settings &service,
+                                                        const rollout_evidence &evidence, Core::wall_time now);
+} // namespace Rollout
--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -28,12 +28,6 @@
 {
 }
 
-double caller_api::draw()
-{
-    const std::scoped_lock lock(m_randomMutex);
-    return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
-}
-
 std::string caller_api::makeRequestId()
 {
     const std::scoped_lock lock(m_randomMutex);
@@ -95,7 +89,7 @@
     const auto document = m_daemon.configuration.current();
     const auto service = document->services.find(request.service);
     const std::string version =
-        service == document->services.end() ? "" : Rollout::chooseVersion(service->second, 0.0, draw());
+        service == document->services.end() ? "" : Rollout::chooseVersion(service->second, 0.0, request.requestId);
     Core::result<Query::query_plan> plan =
         Query::planQuery(*document, request, version, std::chrono::steady_clock::now());
     if (!plan) {
--- a/Services/ragwortcrankd/CallerApi.h
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -35,7 +35,6 @@
 private:
     void startQuery(Query::query_request request, Platform::http_responder responder);
     std::string makeRequestId();
-    double draw();
 
     daemon_state &m_daemon;
     std::vector<std::unique_ptr<query_worker>> &m_workers;
--- /dev/null
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -0,0 +1,128 @@
+#include "LibConfiguration/ServiceSettings.h"
+#include "LibCore/RandomEngine.h"
+#include "LibRollout/ChooseVersion.h"
+#include "LibRollout/CloseRollout.h"
+#include "LibRollout/Evidence.h"
+#include "LibRollout/JudgeEvidence.h"
+#include "LibRollout/RolloutShare.h"
+
+#include <gtest/gtest.h>
+
+using Rollout::verdict;
+using Rollout::version_side;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+struct rollout : testing::Test {
+    Core::wall_time start {seconds(1'000'000)};
+    Core::wall_time now = start + seconds(60);
+    Configuration::service_settings service;
+    Rollout::rollout_evidence evidence;
+
+    void SetUp() override
+    {
+        service.version = "v1";
+        service.rollout = {7, "v1", "v2", start, start + seconds(1000), false};
+    }
+
+    /// Counts `queries` of which the part `newShare` goes to the new version, at one daemon.
+    void count(std::uint64_t incarnation, const std::string &route, int queries, double newShare, double oldFaults,
+               double newFaults)
+    {
+        Rollout::own_evidence own;
+        Core::random_engine random(incarnation);
+        std::uniform_real_distribution<double> draw(0.0, 1.0);
+        for (int query = 0; query < queries; ++query) {
+            const version_side side = draw(random) < newShare ? version_side::New : version_side::Old;
+            const bool failed = draw(random) < (side == version_side::New ? newFaults : oldFaults);
+            Rollout::recordAnswer(own, {side, newShare, route, failed, milliseconds(10)}, now);
+        }
+        Rollout::mergeDaemon(evidence, incarnation, own.counts);
+    }
+};
+} // namespace
+
+TEST_F(rollout, FaultsOfTheNewVersionAreBad)
+{
+    count(1, "r", 1000, 0.04, 0.01, 0.5);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
+    EXPECT_EQ(Rollout::shareOfNewVersion(*service.rollout, evidence, now), 0.0);
+}
+
+TEST_F(rollout, ABadDataCentreDoesNotCountAgainstTheNewVersion)
+{
+    // The daemons of the bad data centre are further in the rollout, so most of the new version's answers are there.
+    count(1, "r", 10000, 0.04, 0.01, 0.01);
+    count(2, "r", 5000, 0.6, 0.5, 0.5);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Good);
+}
+
+TEST_F(rollout, AFaultOnOneRouteIsNotHiddenByTheOthers)
+{
+    count(1, "busy", 100000, 0.5, 0.05, 0.05);
+    count(2, "r", 250, 0.5, 0.01, 0.4);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
+}
+
+TEST_F(rollout, ALateFaultIsNotHiddenByEarlierAnswers)
+{
+    count(1, "r", 200000, 0.6, 0.02, 0.02);
+    now += seconds(100);
+    count(2, "r", 300, 0.6, 0.02, 0.4);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
+}
+
+TEST_F(rollout, SlowAnswersCountOnlyAgainstTheOldVersionOfTheSameTime)
+{
+    Rollout::own_evidence slowVersion;
+    Rollout::own_evidence slowDown;
+    for (int query = 0; query < 4000; ++query) {
+        const version_side side = query % 4 == 0 ? version_side::New : version_side::Old;
+        const milliseconds latency(10 + query % 7);
+        const milliseconds slower = latency * (side == version_side::New ? 3 : 1);
+        Rollout::recordAnswer(slowVersion, {side, 0.25, "r", false, slower}, now);
+        Rollout::recordAnswer(slowDown, {side, 0.25, "r", false, query < 2000 ? latency : latency * 10}, now);
+    }
+    Rollout::mergeDaemon(evidence, 1, slowDown.counts);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Good);
+    Rollout::mergeDaemon(evidence, 2, slowVersion.counts);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
+}
+
+TEST_F(rollout, ShareIsSmallFirstAndWholeBeforeTheDeadline)
+{
+    EXPECT_EQ(Rollout::shareOfNewVersion(*service.rollout, evidence, start - seconds(1)), 0.0);
+    EXPECT_LE(Rollout::shareOfNewVersion(*service.rollout, evidence, start + seconds(200)), 0.05);
+    EXPECT_EQ(Rollout::shareOfNewVersion(*service.rollout, evidence, start + seconds(999)), 1.0);
+    service.rollout->takenBack = true;
+    EXPECT_EQ(Rollout::shareOfNewVersion(*service.rollout, evidence, start + seconds(999)), 0.0);
+}
+
+TEST_F(rollout, EndsAsDoneOrTakenBackButNotBoth)
+{
+    const Core::wall_time after = service.rollout->deadline + seconds(1);
+    EXPECT_FALSE(Rollout::closeRollout("s", service, evidence, now));
+    EXPECT_EQ(Rollout::closeRollout("s", service, evidence, after)->patchId, "rollout-s-7-done");
+    evidence.bad = true;
+    EXPECT_EQ(Rollout::closeRollout("s", service, evidence, after)->patchId, "rollout-s-7-taken-back");
+    service.rollout->takenBack = true;
+    EXPECT_FALSE(Rollout::closeRollout("s", service, {}, after));
+    service.rollout.reset();
+    EXPECT_FALSE(Rollout::closeRollout("s", service, evidence, after));
+}
+
+TEST_F(rollout, RetriesUseTheSameVersionAndTheShareIsKept)
+{
+    int chosen = 0;
+    for (int query = 0; query < 10000; ++query) {
+        const std::string id = "vm-1." + std::to_string(query);
+        const std::string version = Rollout::chooseVersion(service, 0.2, id);
+        EXPECT_EQ(version, Rollout::chooseVersion(service, 0.2, id));
+        chosen += version == "v2" ? 1 : 0;
+    }
+    EXPECT_NEAR(chosen, 2000, 200);
+    EXPECT_EQ(Rollout::chooseVersion(service, 0.0, "x"), "v1");
+    EXPECT_EQ(Rollout::chooseVersion(service, 1.0, "x"), "v2");
+}
