--- a/Tests/StandIns/Store.cpp
+++ b/Tests/StandIns/Store.cpp
@@ -1,6 +1,5 @@
 #include "StandIns/Store.h"
 
-#include "LibPlatform/HttpRequest.h"
 #include "LibPlatform/HttpResponse.h"
 
 #include <boost/json/object.hpp>
@@ -49,6 +48,7 @@
 {
     if (request.path == "/faults" && request.method == "POST") {
         setFaults(request.body);
+        answerHeld();
         responder.respond(respondWith(200, "{}"));
         return;
     }
@@ -64,6 +64,10 @@
             responder.respond(respondWith(503));
             return;
         }
+        if (m_silent) {
+            m_held.emplace_back(request, std::move(responder));
+            return;
+        }
         delay = m_delay;
     }
     std::this_thread::sleep_for(delay);
@@ -130,6 +134,12 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
+        if (m_silent) {
+            lock.unlock();
+            std::this_thread::sleep_for(watchInterval);
+            lock.lock();
+            continue;
+        }
         std::vector<waiting_watch> kept;
         const Core::time_point now = std::chrono::steady_clock::now();
         for (waiting_watch &waiting : m_watches) {
@@ -157,6 +167,9 @@
     if (const auto *down = faults.if_contains("down")) {
         m_down = down->as_bool();
     }
+    if (const auto *silent = faults.if_contains("silent")) {
+        m_silent = silent->as_bool();
+    }
     if (const auto *delay = faults.if_contains("delay_ms")) {
         m_delay = std::chrono::milliseconds(delay->to_number<std::int64_t>());
     }
@@ -165,6 +178,22 @@
     }
 }
 
+/// Carries out, late, what a silent store was asked; their callers have long given up on most of it.
+void store::answerHeld()
+{
+    std::vector<std::pair<Platform::http_request, Platform::http_responder>> held;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_silent) {
+            return;
+        }
+        held.swap(m_held);
+    }
+    for (auto &[request, responder] : held) {
+        handleObject(request, std::move(responder));
+    }
+}
+
 std::string store::countersText()
 {
     const std::scoped_lock lock(m_mutex);
--- a/Tests/StandIns/Store.h
+++ b/Tests/StandIns/Store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibPlatform/HttpRequest.h"
 #include "LibPlatform/HttpResponder.h"
 
 #include <cstdint>
@@ -8,17 +9,15 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
-namespace Platform
-{
-struct http_request;
-}
-
 namespace StandIns
 {
 /// A stand-in for the platform's object store: versions, conditional updates, watches, counted calls and faults.
-/// Objects live under /objects/KEY; POST /faults sets {"down", "delay_ms", "lose_replies"}; GET /counters counts calls.
+/// Objects live under /objects/KEY; POST /faults sets {"down", "delay_ms", "lose_replies", "silent"}; GET /counters
+/// counts calls. A silent store takes requests and answers none of them, waiting watches included, until it is set
+/// back.
 class store
 {
 public:
@@ -45,6 +44,7 @@
     void write(const std::string &key, const Platform::http_request &request, Platform::http_responder responder);
     void watch(const std::string &key, const Platform::http_request &request, Platform::http_responder responder);
     void setFaults(const std::string &body);
+    void answerHeld();
     std::string countersText();
     void answerWatches();
 
@@ -53,6 +53,8 @@
     std::vector<waiting_watch> m_watches;
     std::map<std::string, std::uint64_t> m_counters;
     bool m_down = false;
+    bool m_silent = false;
+    std::vector<std::pair<Platform::http_request, Platform::http_responder>> m_held; ///< Requests of a silent store.
     std::int64_t m_loseReplies = 0; ///< Writes left that take effect without an answer.
     Core::duration m_delay {};
     bool m_stopping = false;
