--- a/Benchmarks/Policy/QueryDriver.cpp
+++ b/Benchmarks/Policy/QueryDriver.cpp
@@ -3,6 +3,7 @@
 #include "LibBackend/AttemptFailure.h"
 #include "LibBackend/ReplicaEvents.h"
 #include "LibBackend/Warmth.h"
+#include "LibQuery/CancelledEnd.h"
 #include "LibQuery/QueryEvents.h"
 
 #include <random>
@@ -108,7 +109,7 @@
     for (const Query::send_attempt &attempt : effects.sends) {
         send(number, attempt);
     }
-    for (const std::uint64_t attempt : effects.cancels) {
+    for (const Query::cancel_attempt &attempt : effects.cancels) {
         cancel(number, attempt);
     }
     if (effects.finished) {
@@ -140,13 +141,13 @@
     driven_query &query = m_queries.at(number);
     const Backend::replica_state &target = serviceOf(query).replicas[attempt.target.replica];
     ++shardRequests;
-    query.sentTo[attempt.attempt] = attempt.target.replica;
     const std::uint64_t key = attemptKey(number, attempt.attempt);
     m_openAttempts.insert(key);
     events.at(attempt.silentAt,
               [this, number, attempt] { fail(number, attempt.attempt, Backend::attempt_failure::Silent); });
     connection_pool &pool = m_connections[{query.daemon, target.name}];
-    const std::uint32_t idle = pool.idle + pool.idleSilent;
+    const bool fresh = attempt.connection == Query::connection_choice::Fresh;
+    const std::uint32_t idle = fresh ? 0 : pool.idle + pool.idleSilent;
     const bool usesSilent = idle > 0 && m_random() % idle < pool.idleSilent;
     if (usesSilent) {
         --pool.idleSilent; // The request never arrives; silentAt condemns the connection.
@@ -171,18 +172,27 @@
     events.after(connecting + delay, [&replica, request = std::move(request)] { replica.accept(request); });
 }
 
+static Query::cancelled_end endOf(const fake_reply &reply)
+{
+    if (reply.cancelled) {
+        return Query::cancelled_end::Stopped;
+    }
+    return reply.failure ? Query::cancelled_end::Failed : Query::cancelled_end::Answered;
+}
+
 void query_driver::receive(std::uint64_t number, const Query::send_attempt &attempt, const fake_reply &reply)
 {
-    if (m_openAttempts.erase(attemptKey(number, attempt.attempt)) == 0) {
+    const std::uint64_t key = attemptKey(number, attempt.attempt);
+    if (m_openAttempts.erase(key) == 0) {
         return; // It timed out before, and its connection was closed.
     }
-    const auto found = m_queries.find(number);
-    if (found == m_queries.end()) {
+    if (endCancelled(key, endOf(reply))) {
         return;
     }
-    driven_query &query = found->second;
+    driven_query &query = m_queries.at(number);
     if (reply.cancelled || reply.failure) {
-        const auto failure = reply.failure.value_or(Backend::attempt_failure::Faulty);
+        const auto failure = reply.failure.value_or(Backend::attempt_failure::Cancelled);
+        connectFailures += failure == Backend::attempt_failure::ConnectFailed ? 1 : 0;
         carryOut(number,
                  Query::onFailure(query.state, serviceOf(query), attempt.attempt, failure, events.now(), m_random));
         return;
@@ -194,22 +204,37 @@
              Query::onAnswer(query.state, serviceOf(query), attempt.attempt, reply.answer, events.now(), m_random));
 }
 
+bool query_driver::endCancelled(std::uint64_t key, Query::cancelled_end end)
+{
+    const auto found = m_cancelled.find(key);
+    if (found == m_cancelled.end()) {
+        return false;
+    }
+    const cancelled_attempt ended = found->second;
+    m_cancelled.erase(found);
+    if (m_settings.remembersReplicas) {
+        Query::onCancelledEnd(m_services[ended.daemon], ended.attempt, end, events.now());
+    }
+    return true;
+}
+
 void query_driver::fail(std::uint64_t number, std::uint64_t attempt, Backend::attempt_failure failure)
 {
-    const auto found = m_queries.find(number);
-    if (m_openAttempts.erase(attemptKey(number, attempt)) == 0 || found == m_queries.end()) {
+    const std::uint64_t key = attemptKey(number, attempt);
+    if (m_openAttempts.erase(key) == 0 || endCancelled(key, Query::cancelled_end::Failed)) {
         return;
     }
-    driven_query &query = found->second;
+    driven_query &query = m_queries.at(number);
     carryOut(number, Query::onFailure(query.state, serviceOf(query), attempt, failure, events.now(), m_random));
 }
 
-void query_driver::cancel(std::uint64_t number, std::uint64_t attempt)
+void query_driver::cancel(std::uint64_t number, const Query::cancel_attempt &attempt)
 {
     driven_query &query = m_queries.at(number);
-    const Backend::replica_state &target = serviceOf(query).replicas[query.sentTo.at(attempt)];
+    const Backend::replica_state &target = serviceOf(query).replicas[attempt.target.replica];
     fake_replica &replica = *m_replicas.at(target.name);
-    const std::uint64_t key = attemptKey(number, attempt);
+    const std::uint64_t key = attemptKey(number, attempt.attempt);
+    m_cancelled[key] = {query.daemon, attempt};
     events.after(delayTo(query.daemon, target), [&replica, key] { replica.cancel(key); });
 }
 
@@ -264,6 +289,6 @@
     if (firstRequests == 0) {
         return 0.0;
     }
-    return static_cast<double>(shardRequests) / static_cast<double>(firstRequests) - 1.0;
+    return static_cast<double>(shardRequests - connectFailures) / static_cast<double>(firstRequests) - 1.0;
 }
 } // namespace Bench
--- a/Benchmarks/Policy/QueryDriver.h
+++ b/Benchmarks/Policy/QueryDriver.h
@@ -17,6 +17,11 @@
 #include <string>
 #include <vector>
 
+namespace Query
+{
+enum class cancelled_end;
+}
+
 namespace Bench
 {
 /// Feeds LibQuery and LibBackend for several daemons, each with its own service state, on virtual time. It does what
@@ -55,6 +60,7 @@
     std::vector<query_record> records; ///< The finished queries, in the order of their ends.
     std::uint64_t firstRequests = 0; ///< One for each shard of each query.
     std::uint64_t shardRequests = 0; ///< All that were sent.
+    std::uint64_t connectFailures = 0; ///< Of those, the ones that never reached a replica.
 
     /// Extra requests by hedges and retries, as part of the first ones.
     [[nodiscard]] double extraLoad() const;
@@ -64,13 +70,16 @@
         std::uint32_t idle = 0;
         std::uint32_t idleSilent = 0;
     };
+    struct cancelled_attempt {
+        std::size_t daemon = 0;
+        Query::cancel_attempt attempt;
+    };
     struct driven_query {
         std::size_t daemon = 0;
         Query::query_state state;
         Core::time_point startedAt;
         std::set<std::size_t> trulyAnswered; ///< Shards for which a right answer reached the daemon.
         std::uint64_t timerGeneration = 0;
-        std::map<std::uint64_t, std::size_t> sentTo; ///< Replica by attempt.
         std::unique_ptr<Backend::service_state> ownService; ///< For the baseline that remembers nothing.
     };
 
@@ -82,7 +91,8 @@
     void send(std::uint64_t number, const Query::send_attempt &attempt);
     void receive(std::uint64_t number, const Query::send_attempt &attempt, const fake_reply &reply);
     void fail(std::uint64_t number, std::uint64_t attempt, Backend::attempt_failure failure);
-    void cancel(std::uint64_t number, std::uint64_t attempt);
+    void cancel(std::uint64_t number, const Query::cancel_attempt &attempt);
+    [[nodiscard]] bool endCancelled(std::uint64_t key, Query::cancelled_end end);
     void wake(std::uint64_t number, std::uint64_t generation);
     void finish(std::uint64_t number, const Query::query_result &result);
     [[nodiscard]] static std::uint64_t attemptKey(std::uint64_t number, std::uint64_t attempt);
@@ -95,6 +105,7 @@
     std::map<std::pair<std::size_t, std::string>, connection_pool> m_connections;
     std::map<std::uint64_t, driven_query> m_queries;
     std::set<std::uint64_t> m_openAttempts; ///< Attempts whose reply or timeout has not yet come.
+    std::map<std::uint64_t, cancelled_attempt> m_cancelled; ///< Not ended yet; they may outlive their queries.
     std::uint64_t m_nextQuery = 1;
 };
 } // namespace Bench
--- a/Libraries/LibBackend/ApplyConfiguration.cpp
+++ b/Libraries/LibBackend/ApplyConfiguration.cpp
@@ -84,6 +84,8 @@
     service.configuration = std::max<std::uint64_t>(document.number, 1);
     service.slotsPerReplica = std::max(settings.slotsPerReplica, 1U);
     service.coldSlots = settings.coldSlots;
+    service.currentSnapshot = settings.currentSnapshot;
+    service.extraLoad.earnedPerRequest = document.tier.hedgeBudget;
     service.longestRequest = longestDeadline(settings);
     std::vector<std::size_t> idle = idleIndices(service);
     for (replica_state &replica : service.replicas) {
--- a/Libraries/LibBackend/AttemptFailure.h
+++ b/Libraries/LibBackend/AttemptFailure.h
@@ -10,6 +10,7 @@
     ConnectionLost, ///< The connection broke after the request may have left.
     Silent, ///< No answer within the bound; the connection is condemned, not the replica.
     Faulty, ///< An error answer, or one that is malformed, for another request or from another snapshot.
+    Cancelled, ///< The other side stopped because it was asked to.
 };
 
 /// Whether the failure proves that the request did not run.
--- a/Libraries/LibBackend/ConnectionsPerOwner.cpp
+++ b/Libraries/LibBackend/ConnectionsPerOwner.cpp
@@ -4,7 +4,7 @@
 
 namespace Backend
 {
-/// Part of the limit, in 1/8, that is kept free for a new owner that connects before the old one has let go.
+/// The part of the limit that is kept free at the least, as its inverse.
 static constexpr std::uint32_t headroomInverse = 8;
 
 std::uint32_t connectionsPerOwner(std::uint32_t connectionLimit, std::uint32_t owners)
@@ -12,10 +12,9 @@
     if (owners == 0) {
         return 0;
     }
-    const std::uint32_t headroom = std::max(1U, connectionLimit / headroomInverse);
-    if (connectionLimit <= headroom) {
-        return 0;
-    }
-    return (connectionLimit - headroom) / owners;
+    // A replaced owner may connect before the server has seen that its predecessor is gone.
+    const std::uint32_t withReplacement = connectionLimit / (owners + 1);
+    const std::uint32_t withHeadroom = (connectionLimit - connectionLimit / headroomInverse) / owners;
+    return std::min(withReplacement, withHeadroom);
 }
 } // namespace Backend
--- /dev/null
+++ b/Libraries/LibBackend/ExtraLoadBudget.cpp
@@ -0,0 +1,29 @@
+#include "LibBackend/ExtraLoadBudget.h"
+
+#include <algorithm>
+
+namespace Backend
+{
+/// Bounds the burst after a quiet time; a query of 520 shards earns 26 tokens.
+static constexpr double mostTokens = 100.0;
+
+void earnTokens(extra_load_budget &budget, std::size_t requests, double part)
+{
+    const double earned = budget.earnedPerRequest * part * static_cast<double>(requests);
+    budget.tokens = std::min(budget.tokens + earned, mostTokens);
+}
+
+bool takeToken(extra_load_budget &budget)
+{
+    if (budget.tokens < 1.0) {
+        return false;
+    }
+    budget.tokens -= 1.0;
+    return true;
+}
+
+void returnToken(extra_load_budget &budget)
+{
+    budget.tokens += 1.0;
+}
+} // namespace Backend
--- a/Libraries/LibBackend/Ownership.cpp
+++ b/Libraries/LibBackend/Ownership.cpp
@@ -11,6 +11,10 @@
     service.ownershipKnown = true;
     service.ownershipConfirmedAt = now;
     service.connectionsPerReplica = view.connectionsPerReplica;
+    service.ownersByShard.clear();
+    for (auto &[shard, owners] : view.byShard) {
+        service.ownersByShard.emplace(shard, std::move(owners));
+    }
     for (replica_state &replica : service.replicas) {
         const auto rank = view.warmerRanks.find(replica.name);
         const std::uint32_t newRank = rank == view.warmerRanks.end() ? replica_state::noRank : rank->second;
--- /dev/null
+++ b/Libraries/LibBackend/ServiceLoad.cpp
@@ -0,0 +1,46 @@
+#include "LibBackend/ServiceLoad.h"
+
+#include "LibCore/Verify.h"
+
+#include <cmath>
+
+namespace Backend
+{
+static constexpr double fadeSeconds = 0.5;
+
+/// Only busy time counts: a quiet hour says nothing about how fast requests end.
+static void advance(service_load &load, Core::time_point now)
+{
+    const double seconds = Core::toSeconds(now - load.updatedAt);
+    load.updatedAt = now;
+    if (load.inFlight == 0 || seconds <= 0.0) {
+        return;
+    }
+    const double kept = std::exp(-seconds / fadeSeconds);
+    load.recentEnds *= kept;
+    load.busySeconds = load.busySeconds * kept + seconds;
+}
+
+void recordStarted(service_load &load, std::size_t requests, Core::time_point now)
+{
+    advance(load, now);
+    load.inFlight += requests;
+}
+
+void recordEnded(service_load &load, Core::time_point now)
+{
+    VERIFY(load.inFlight > 0);
+    advance(load, now);
+    --load.inFlight;
+    load.recentEnds += 1.0;
+}
+
+Core::duration expectedTime(const service_load &load)
+{
+    constexpr double leastEnds = 20.0;
+    if (load.inFlight == 0 || load.recentEnds < leastEnds) {
+        return Core::duration::zero();
+    }
+    return Core::fromSeconds(static_cast<double>(load.inFlight) * load.busySeconds / load.recentEnds);
+}
+} // namespace Backend
--- a/Libraries/LibBackend/ServiceState.h
+++ b/Libraries/LibBackend/ServiceState.h
@@ -1,7 +1,13 @@
 #pragma once
 
+#include "LibBackend/CancellationRecord.h"
+#include "LibBackend/ExtraLoadBudget.h"
+#include "LibBackend/LatencyTracker.h"
 #include "LibBackend/NameHash.h"
+#include "LibBackend/PeerState.h"
 #include "LibBackend/ReplicaState.h"
+#include "LibBackend/ServiceLoad.h"
+#include "LibBackend/ShardOwners.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,5 +36,13 @@
 
     double warmLatencySeconds = 0.0; ///< Weighted mean over all warm replicas; 0: no answer yet.
     double slowestRecentSeconds = 0.0; ///< Decaying maximum over all replicas.
+    std::string currentSnapshot; ///< The configuration's; newer than the pin of queries that started before it.
+    latency_tracker firstLatencies; ///< Of first attempts only, so that hedges don't move their own trigger.
+    extra_load_budget extraLoad;
+    cancellation_record cancellations;
+    service_load load;
+    /// Who owns the replicas of a shard, by shard name. Shards that are absent are owned by this daemon.
+    std::unordered_map<std::string, shard_owners, name_hash, std::equal_to<>> ownersByShard;
+    std::unordered_map<std::string, peer_state, name_hash, std::equal_to<>> peers; ///< By the daemon's name.
 };
 } // namespace Backend
--- a/Libraries/LibBackend/Warmth.cpp
+++ b/Libraries/LibBackend/Warmth.cpp
@@ -50,13 +50,19 @@
     setWarmth(replica, std::move(record), now);
 }
 
+/// Whether the daemon has heard the replica itself, but so far has no generation to compare by, and a peer's record
+/// vouches for another process. Then what the daemon heard is taken as the newer.
+static bool isFirstHeard(const warmth_record &own, const warmth_record &record)
+{
+    const bool comparable = own.configuration != 0 && own.configuration != record.configuration;
+    const bool heard = own.generation == 0 && own.level == 0 && !own.incarnation.empty();
+    return heard && !comparable && record.incarnation != own.incarnation && record.level > 0;
+}
+
 static void importRecord(replica_state &replica, const warmth_record &record, Core::time_point now)
 {
     const warmth_record &own = replica.warmth;
-    // A daemon that has only just heard of a replica has no generation to compare by: what it heard itself is newer.
-    const bool comparable = own.configuration != 0 && own.configuration != record.configuration;
-    const bool unnumbered = own.generation == 0 && !comparable && !own.incarnation.empty();
-    if (unnumbered && record.incarnation != own.incarnation && record.level > 0) {
+    if (isFirstHeard(own, record)) {
         const std::string heard = own.incarnation;
         replica.warmth = joinWarmth(own, record);
         turnCold(replica, heard, now);
--- a/Libraries/LibPlatform/BackendCodec.cpp
+++ b/Libraries/LibPlatform/BackendCodec.cpp
@@ -113,6 +113,9 @@
     if (booleanMember(object, "not_run")) {
         return Backend::failed_attempt(Backend::attempt_failure::NotRun, decodeReport(object));
     }
+    if (booleanMember(object, "cancelled")) {
+        return Backend::failed_attempt(Backend::attempt_failure::Cancelled, decodeReport(object));
+    }
     Query::shard_answer answer;
     if (outcome.response.status != 200 || !decodeItems(object, answer.items)) {
         return Backend::failed_attempt(Backend::attempt_failure::Faulty);
--- /dev/null
+++ b/Libraries/LibQuery/Attempts.cpp
@@ -0,0 +1,175 @@
+#include "LibQuery/Attempts.h"
+
+#include "LibBackend/FailedAttempt.h"
+#include "LibBackend/ReplicaChoice.h"
+#include "LibBackend/ReplicaEvents.h"
+#include "LibBackend/ReplicaFilter.h"
+#include "LibBackend/ServiceState.h"
+#include "LibBackend/ShardAvailability.h"
+#include "LibBackend/SilenceBound.h"
+#include "LibQuery/ChoosePeer.h"
+#include "LibQuery/QueryState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Query
+{
+static constexpr unsigned ordinalBits = 8;
+static constexpr std::uint64_t ordinalMask = (1U << ordinalBits) - 1;
+
+static std::uint64_t makeAttemptId(std::size_t shard, std::uint32_t ordinal)
+{
+    return (static_cast<std::uint64_t>(shard) << ordinalBits) | ordinal;
+}
+
+std::size_t shardOfAttempt(std::uint64_t attempt)
+{
+    return static_cast<std::size_t>(attempt >> ordinalBits);
+}
+
+bool isFirstAttempt(std::uint64_t attempt)
+{
+    return (attempt & ordinalMask) == 1;
+}
+
+Backend::replica_filter filterFor(const query_state &query, std::size_t shard)
+{
+    Backend::replica_filter filter;
+    filter.shard = query.plan.shards[shard].name;
+    filter.version = query.plan.version;
+    filter.dataCentres = &query.plan.dataCentres;
+    return filter;
+}
+
+static std::optional<std::size_t> chooseUntried(const query_state &query, const Backend::service_state &service,
+                                                std::size_t shardIndex, Core::time_point now,
+                                                Core::random_engine &random)
+{
+    const shard_state &shard = query.shards[shardIndex];
+    Backend::replica_filter filter = filterFor(query, shardIndex);
+    filter.exclude = {shard.triedReplicas.data(), shard.triedReplicas.size()};
+    const std::optional<std::size_t> untried = Backend::chooseReplica(service, filter, now, random);
+    if (untried || shard.triedReplicas.empty() || !shard.running.empty()) {
+        return untried;
+    }
+    // Nobody else is left, and a silent connection or a refusal does not condemn the replica.
+    filter.exclude = {};
+    return Backend::chooseReplica(service, filter, now, random);
+}
+
+static std::optional<shard_target> chooseTarget(query_state &query, const Backend::service_state &service,
+                                                std::size_t shard, Core::time_point now, Core::random_engine &random)
+{
+    std::string peer;
+    if (needsPeer(query, service, shard)) {
+        peer = choosePeer(query, service, shard, now, random);
+    } else if (const auto replica = chooseUntried(query, service, shard, now, random)) {
+        return shard_target {"", *replica};
+    }
+    if (peer.empty()) {
+        peer = chooseWarmer(query, service, shard, now);
+    }
+    if (peer.empty()) {
+        return std::nullopt;
+    }
+    return shard_target {std::move(peer), 0};
+}
+
+static Core::time_point silentAt(const query_state &query, const Backend::service_state &service,
+                                 const shard_target &target, Core::time_point now)
+{
+    if (!query.plan.idempotent) {
+        return query.plan.deadline; // There is no retry that an earlier end could make room for.
+    }
+    if (!target.peer.empty()) {
+        constexpr int silentParts = 2;
+        return now + (query.plan.deadline - now) / silentParts;
+    }
+    return std::min(now + Backend::silenceBound(service, target.replica), query.plan.deadline);
+}
+
+bool sendAttempt(query_state &query, Backend::service_state &service, std::size_t shardIndex, query_effects &effects,
+                 Core::time_point now, Core::random_engine &random)
+{
+    std::optional<shard_target> target = chooseTarget(query, service, shardIndex, now, random);
+    if (!target) {
+        return false;
+    }
+    shard_state &shard = query.shards[shardIndex];
+    if (target->peer.empty()) {
+        Backend::recordSent(service, target->replica, now);
+        shard.triedReplicas.push_back(target->replica);
+    } else {
+        ++service.peers[target->peer].inFlight;
+        shard.triedPeers.push_back(target->peer);
+    }
+    Backend::recordStarted(service.load, 1, now);
+    send_attempt send;
+    send.attempt = makeAttemptId(shardIndex, ++shard.attemptsSent);
+    send.shard = shardIndex;
+    send.target = std::move(*target);
+    send.timeRemaining = query.plan.deadline - now;
+    send.silentAt = silentAt(query, service, send.target, now);
+    send.connection = std::exchange(shard.nextConnection, connection_choice::Any);
+    shard.running.push_back({send.attempt, send.target, now});
+    effects.sends.push_back(std::move(send));
+    return true;
+}
+
+std::optional<attempt_state> takeAttempt(query_state &query, std::uint64_t attempt)
+{
+    const std::size_t shard = shardOfAttempt(attempt);
+    if (shard >= query.shards.size()) {
+        return std::nullopt;
+    }
+    auto &running = query.shards[shard].running;
+    const auto found = std::find_if(running.begin(), running.end(),
+                                    [attempt](const attempt_state &candidate) { return candidate.id == attempt; });
+    if (found == running.end()) {
+        return std::nullopt;
+    }
+    attempt_state taken = std::move(*found);
+    running.erase(found);
+    return taken;
+}
+
+static void recordPeerFailure(Backend::peer_state &peer, Backend::attempt_failure failure, Core::time_point now)
+{
+    using Backend::attempt_failure;
+    const bool isOfThePeer = failure == attempt_failure::ConnectFailed || failure == attempt_failure::ConnectionLost
+        || failure == attempt_failure::Silent;
+    if (!isOfThePeer) {
+        return;
+    }
+    constexpr std::chrono::milliseconds firstAvoidance {200};
+    constexpr std::uint32_t mostDoublings = 5;
+    peer.avoidUntil = now + firstAvoidance * (1U << std::min(peer.consecutiveFailures, mostDoublings));
+    ++peer.consecutiveFailures;
+}
+
+void recordAttemptFailure(Backend::service_state &service, const attempt_state &attempt,
+                          const Backend::failed_attempt &failed, Core::time_point now)
+{
+    Backend::recordEnded(service.load, now);
+    if (attempt.target.peer.empty()) {
+        Backend::recordFailure(service, attempt.target.replica, failed, now);
+        return;
+    }
+    Backend::peer_state &peer = service.peers[attempt.target.peer];
+    --peer.inFlight;
+    recordPeerFailure(peer, failed.failure, now);
+}
+
+void cancelRunning(query_state &query, Backend::service_state &service, std::size_t shardIndex, query_effects &effects,
+                   Core::time_point now)
+{
+    for (attempt_state &attempt : query.shards[shardIndex].running) {
+        if (isFirstAttempt(attempt.id)) {
+            Backend::recordLatency(service.firstLatencies, now - attempt.sentAt);
+        }
+        effects.cancels.push_back({attempt.id, std::move(attempt.target), now});
+    }
+    query.shards[shardIndex].running.clear();
+}
+} // namespace Query
--- a/Libraries/LibQuery/PlanQuery.cpp
+++ b/Libraries/LibQuery/PlanQuery.cpp
@@ -86,6 +86,7 @@
     plan.version = version;
     plan.dataCentres = document.teams.at(request.team).dataCentres;
     plan.minimumCoverage = route->second.minimumCoverage;
+    plan.priority = route->second.priority;
     plan.idempotent = route->second.idempotent;
     const Core::duration most = route->second.deadline;
     const bool asked = request.timeRemaining > Core::duration::zero();
--- a/Libraries/LibQuery/QueryEvents.cpp
+++ b/Libraries/LibQuery/QueryEvents.cpp
@@ -1,126 +1,80 @@
 #include "LibQuery/QueryEvents.h"
 
-#include "LibBackend/AttemptFailure.h"
-#include "LibBackend/ReplicaChoice.h"
 #include "LibBackend/ReplicaEvents.h"
-#include "LibBackend/ReplicaFilter.h"
 #include "LibBackend/ServiceState.h"
-#include "LibQuery/Coverage.h"
+#include "LibQuery/Attempts.h"
+#include "LibQuery/CancelledEnd.h"
+#include "LibQuery/FinishQuery.h"
+#include "LibQuery/Hedging.h"
+#include "LibQuery/MergeItems.h"
+#include "LibQuery/RefuseEarly.h"
+#include "LibQuery/Retries.h"
 #include "LibQuery/ShardAnswer.h"
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace Query
 {
-static constexpr std::size_t mostItems = 100;
-static constexpr std::uint32_t mostAttemptsPerShard = 3;
+/// Root and branch spend from their own budgets; together they must stay within the one that is configured.
+static constexpr double rootPart = 0.2;
+static constexpr double branchPart = 0.75;
 
-static bool sendAttempt(query_state &query, Backend::service_state &service, std::size_t shardIndex,
-                        query_effects &effects, Core::time_point now, Core::random_engine &random)
+/// Gives the daemon the next time to wake, if it changed, or ends the query if no shard is open.
+static void settle(query_state &query, Backend::service_state &service, query_effects &effects, Core::time_point now)
 {
-    shard_state &shard = query.shards[shardIndex];
-    const Backend::replica_filter filter {query.plan.shards[shardIndex].name, query.plan.version,
-                                          &query.plan.dataCentres, shard.triedReplicas};
-    const std::optional<std::size_t> replica = Backend::chooseReplica(service, filter, now, random);
-    if (!replica) {
-        return false;
-    }
-    const std::uint64_t attempt = query.nextAttempt++;
-    const shard_target target {"", *replica};
-    Backend::recordSent(service, *replica, now);
-    shard.running.push_back({attempt, target, now});
-    shard.triedReplicas.push_back(*replica);
-    ++shard.attemptsSent;
-    effects.sends.push_back({attempt, shardIndex, target, query.plan.deadline - now, query.plan.deadline});
-    return true;
-}
-
-static outcome outcomeOf(const query_state &query)
-{
-    if (query.shardsAnswered == query.shards.size()) {
-        return outcome::Answered;
+    if (query.finished) {
+        return;
     }
-    if (query.shardsAnswered > 0) {
-        return outcome::Partial;
+    if (query.shardsOpen == 0) {
+        finishQuery(query, service, effects, now, "not every shard could be asked or answered");
+        return;
+    }
+    Core::time_point wakeAt = query.plan.deadline;
+    wakeAt = query.hedgeAt ? std::min(wakeAt, *query.hedgeAt) : wakeAt;
+    wakeAt = query.retryAt ? std::min(wakeAt, *query.retryAt) : wakeAt;
+    if (query.wakeAt != wakeAt) {
+        query.wakeAt = wakeAt;
+        effects.wakeAt = wakeAt;
     }
-    const bool mayHaveRun = std::any_of(query.shards.begin(), query.shards.end(), [](const shard_state &shard) {
-        return shard.mayHaveRun || !shard.running.empty();
-    });
-    return mayHaveRun ? outcome::Unknown : outcome::NotRun;
-}
-
-static void finishQuery(query_state &query, Backend::service_state &service, query_effects &effects,
-                        Core::time_point now)
-{
-    query_result result;
-    result.requestId = query.plan.requestId;
-    result.result = outcomeOf(query);
-    result.snapshot = query.plan.snapshot;
-    result.coverage = coverageOf(query);
-    result.shardsAnswered = query.shardsAnswered;
-    result.shardsTotal = static_cast<std::uint32_t>(query.shards.size());
-    for (shard_state &shard : query.shards) {
-        result.shardRequests += shard.attemptsSent;
-        for (const attempt_state &running : shard.running) {
-            Backend::recordCancelled(service, running.target.replica, now);
-            effects.cancels.push_back(running.id);
-        }
-        shard.running.clear();
-    }
-    const auto better = [](const result_item &left, const result_item &right) {
-        return left.score != right.score ? left.score > right.score : left.id < right.id;
-    };
-    std::sort(query.items.begin(), query.items.end(), better);
-    if (query.items.size() > mostItems) {
-        query.items.resize(mostItems);
-    }
-    result.items = std::move(query.items);
-    query.finished = true;
-    effects.wakeAt.reset();
-    effects.finished = std::move(result);
-}
-
-static bool isStuck(const query_state &query)
-{
-    return std::all_of(query.shards.begin(), query.shards.end(),
-                       [](const shard_state &shard) { return shard.answered || shard.running.empty(); });
 }
 
-static void finishIfStuck(query_state &query, Backend::service_state &service, query_effects &effects,
-                          Core::time_point now)
+static void earnFirstTokens(const query_state &query, Backend::service_state &service)
 {
-    if (!query.finished && isStuck(query)) {
-        finishQuery(query, service, effects, now);
+    if (query.plan.ownReplicasOnly) {
+        Backend::earnTokens(service.extraLoad, query.shards.size(), branchPart);
+        return;
     }
+    std::size_t atPeers = 0;
+    for (const shard_state &shard : query.shards) {
+        atPeers += shard.triedPeers.empty() ? 0 : 1;
+    }
+    Backend::earnTokens(service.extraLoad, query.shards.size() - atPeers);
+    Backend::earnTokens(service.extraLoad, atPeers, rootPart);
 }
 
 query_effects startQuery(query_state &query, Backend::service_state &service, Core::time_point now,
                          Core::random_engine &random)
 {
     query_effects effects;
+    query.startedAt = now;
     query.shards.resize(query.plan.shards.size());
-    for (std::size_t index = 0; index < query.shards.size(); ++index) {
-        sendAttempt(query, service, index, effects, now, random);
+    query.shardsOpen = static_cast<std::uint32_t>(query.shards.size());
+    if (shouldRefuse(query.plan, service, now)) {
+        finishQuery(query, service, effects, now, "overloaded: the answer would come after the deadline");
+        return effects;
     }
-    effects.wakeAt = query.plan.deadline;
-    finishIfStuck(query, service, effects, now);
-    return effects;
-}
-
-static std::optional<std::size_t> takeAttempt(query_state &query, std::uint64_t id, attempt_state &attempt)
-{
+    effects.sends.reserve(query.shards.size());
     for (std::size_t index = 0; index < query.shards.size(); ++index) {
-        std::vector<attempt_state> &running = query.shards[index].running;
-        const auto found = std::find_if(running.begin(), running.end(),
-                                        [id](const attempt_state &candidate) { return candidate.id == id; });
-        if (found != running.end()) {
-            attempt = *found;
-            running.erase(found);
-            return index;
+        if (!sendAttempt(query, service, index, effects, now, random)) {
+            waitOrGiveUp(query, service, index, effects, now);
         }
     }
-    return std::nullopt;
+    earnFirstTokens(query, service);
+    planHedges(query, service, now);
+    settle(query, service, effects, now);
+    return effects;
 }
 
 static bool belongsTo(const query_state &query, std::size_t shardIndex, const shard_answer &answer)
@@ -129,46 +83,48 @@
         && answer.shard == query.plan.shards[shardIndex].name;
 }
 
-static void endAttempt(query_state &query, Backend::service_state &service, std::size_t shardIndex,
-                       Backend::attempt_failure failure, query_effects &effects, Core::time_point now,
-                       Core::random_engine &random)
+static void recordAttemptAnswer(Backend::service_state &service, const attempt_state &attempt,
+                                const shard_answer &answer, Core::time_point now)
 {
-    shard_state &shard = query.shards[shardIndex];
-    const bool safe = Backend::provesNotRun(failure);
-    shard.mayHaveRun = shard.mayHaveRun || !safe;
-    const bool mayRetry = query.plan.idempotent || safe;
-    if (!shard.answered && mayRetry && shard.running.empty() && shard.attemptsSent < mostAttemptsPerShard
-        && now < query.plan.deadline) {
-        sendAttempt(query, service, shardIndex, effects, now, random);
-    }
-    effects.wakeAt = query.plan.deadline;
-    finishIfStuck(query, service, effects, now);
+    Backend::recordEnded(service.load, now);
+    if (isFirstAttempt(attempt.id)) {
+        Backend::recordLatency(service.firstLatencies, now - attempt.sentAt);
+    }
+    if (attempt.target.peer.empty()) {
+        Backend::recordAnswer(service, attempt.target.replica, answer.report, now - attempt.sentAt, now);
+        return;
+    }
+    Backend::peer_state &peer = service.peers[attempt.target.peer];
+    --peer.inFlight;
+    peer.consecutiveFailures = 0;
+    peer.avoidUntil = {};
 }
 
-query_effects onAnswer(query_state &query, Backend::service_state &service, std::uint64_t attempt,
-                       const shard_answer &answer, Core::time_point now, Core::random_engine &random)
+query_effects onAnswer(query_state &query, Backend::service_state &service, std::uint64_t attempt, shard_answer answer,
+                       Core::time_point now, Core::random_engine &random)
 {
     query_effects effects;
-    attempt_state ended;
-    const std::optional<std::size_t> shardIndex = takeAttempt(query, attempt, ended);
-    if (query.finished || !shardIndex) {
+    const std::optional<attempt_state> ended = takeAttempt(query, attempt);
+    if (!ended) {
         return effects;
     }
-    if (!belongsTo(query, *shardIndex, answer)) {
-        Backend::recordFailure(service, ended.target.replica, Backend::attempt_failure::Faulty, now);
-        endAttempt(query, service, *shardIndex, Backend::attempt_failure::Faulty, effects, now, random);
+    const std::size_t shardIndex = shardOfAttempt(attempt);
+    if (!belongsTo(query, shardIndex, answer)) {
+        recordAttemptFailure(service, *ended, Backend::attempt_failure::Faulty, now);
+        retryAfter(query, service, shardIndex, Backend::attempt_failure::Faulty, effects, now, random);
+        settle(query, service, effects, now);
         return effects;
     }
-    Backend::recordAnswer(service, ended.target.replica, answer.report, now - ended.sentAt, now);
-    shard_state &shard = query.shards[*shardIndex];
-    if (!shard.answered) {
-        shard.answered = true;
-        ++query.shardsAnswered;
-        effects.answeredShards.push_back(*shardIndex);
-        query.items.insert(query.items.end(), answer.items.begin(), answer.items.end());
-    }
-    effects.wakeAt = query.plan.deadline;
-    finishIfStuck(query, service, effects, now);
+    recordAttemptAnswer(service, *ended, answer, now);
+    shard_state &shard = query.shards[shardIndex];
+    shard.answered = true;
+    shard.open = false;
+    --query.shardsOpen;
+    ++query.shardsAnswered;
+    effects.answeredShards.push_back(shardIndex);
+    mergeItems(query.items, std::move(answer.items));
+    cancelRunning(query, service, shardIndex, effects, now);
+    settle(query, service, effects, now);
     return effects;
 }
 
@@ -176,26 +132,53 @@
                         const Backend::failed_attempt &failed, Core::time_point now, Core::random_engine &random)
 {
     query_effects effects;
-    attempt_state ended;
-    const std::optional<std::size_t> shardIndex = takeAttempt(query, attempt, ended);
-    if (query.finished || !shardIndex) {
+    const std::optional<attempt_state> ended = takeAttempt(query, attempt);
+    if (!ended) {
         return effects;
     }
-    Backend::recordFailure(service, ended.target.replica, failed, now);
-    endAttempt(query, service, *shardIndex, failed.failure, effects, now, random);
+    recordAttemptFailure(service, *ended, failed, now);
+    retryAfter(query, service, shardOfAttempt(attempt), failed.failure, effects, now, random);
+    settle(query, service, effects, now);
     return effects;
 }
 
-query_effects onTimer(query_state &query, Backend::service_state &service, Core::time_point now, Core::random_engine &)
+query_effects onTimer(query_state &query, Backend::service_state &service, Core::time_point now,
+                      Core::random_engine &random)
 {
     query_effects effects;
     if (query.finished) {
         return effects;
     }
-    effects.wakeAt = query.plan.deadline;
     if (now >= query.plan.deadline) {
-        finishQuery(query, service, effects, now);
+        finishQuery(query, service, effects, now, "the deadline passed");
+        return effects;
+    }
+    if (query.retryAt && now >= *query.retryAt) {
+        sendWaiting(query, service, effects, now, random);
     }
+    if (query.hedgeAt && now >= *query.hedgeAt) {
+        sendHedges(query, service, effects, now, random);
+    }
+    settle(query, service, effects, now);
     return effects;
 }
+
+void onCancelledEnd(Backend::service_state &service, const cancel_attempt &attempt, cancelled_end end,
+                    Core::time_point now)
+{
+    Backend::recordEnded(service.load, now);
+    if (!attempt.target.peer.empty()) {
+        --service.peers[attempt.target.peer].inFlight;
+        return;
+    }
+    Backend::recordCancelled(service, attempt.target.replica, now);
+    // An answer soon after the cancellation may have crossed it on the way and proves nothing.
+    const auto median = Backend::latencyQuantile(service.firstLatencies, 0.5);
+    const bool late = median && now - attempt.cancelledAt > *median;
+    if (end == cancelled_end::Stopped) {
+        Backend::recordCancellationHonoured(service.cancellations);
+    } else if (end == cancelled_end::Answered && late) {
+        Backend::recordCancellationIgnored(service.cancellations);
+    }
+}
 } // namespace Query
--- a/Libraries/LibQuery/QueryEvents.h
+++ b/Libraries/LibQuery/QueryEvents.h
@@ -16,6 +16,7 @@
 namespace Query
 {
 struct shard_answer;
+enum class cancelled_end;
 
 /// Starts a query: chooses a target for each shard. The caller holds the service's lock during each of these calls.
 [[nodiscard]] query_effects startQuery(query_state &query, Backend::service_state &service, Core::time_point now,
@@ -23,14 +24,19 @@
 
 /// Takes an answer to one attempt. Answers to other requests, snapshots or ended attempts are never merged.
 [[nodiscard]] query_effects onAnswer(query_state &query, Backend::service_state &service, std::uint64_t attempt,
-                                     const shard_answer &answer, Core::time_point now, Core::random_engine &random);
+                                     shard_answer answer, Core::time_point now, Core::random_engine &random);
 
 /// Takes the end of an attempt without an answer; retries where that is safe.
 [[nodiscard]] query_effects onFailure(query_state &query, Backend::service_state &service, std::uint64_t attempt,
                                       const Backend::failed_attempt &failed, Core::time_point now,
                                       Core::random_engine &random);
 
-/// Sends hedges that are due and ends the query at its deadline.
+/// Sends hedges and waiting retries that are due and ends the query at its deadline.
 [[nodiscard]] query_effects onTimer(query_state &query, Backend::service_state &service, Core::time_point now,
                                     Core::random_engine &random);
+
+/// Takes the end of a cancelled attempt's call, which until then counts as in flight. Needs no query, since most end
+/// after theirs.
+void onCancelledEnd(Backend::service_state &service, const cancel_attempt &attempt, cancelled_end end,
+                    Core::time_point now);
 } // namespace Query
--- a/Libraries/LibQuery/QueryPlan.h
+++ b/Libraries/LibQuery/QueryPlan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibConfiguration/PriorityClass.h"
 #include "LibCore/Time.h"
 #include "LibQuery/PlannedShard.h"
 
@@ -21,7 +22,9 @@
     std::set<std::string> dataCentres; ///< Allowed data centres; empty: all.
     Core::time_point deadline;
     double minimumCoverage = 0.0;
+    Configuration::priority_class priority = Configuration::priority_class::Ordinary;
     bool idempotent = true;
+    bool restarted = false; ///< This is the query's second start; there is no third.
     bool ownReplicasOnly = false; ///< Set on a branch, which never passes work on to another daemon.
 };
 } // namespace Query
--- a/Libraries/LibQuery/QueryState.h
+++ b/Libraries/LibQuery/QueryState.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "LibCore/Time.h"
 #include "LibQuery/QueryPlan.h"
 #include "LibQuery/ResultItem.h"
 #include "LibQuery/ShardState.h"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace Query
@@ -13,9 +16,15 @@
 struct query_state {
     query_plan plan;
     std::vector<shard_state> shards; ///< In the order of the plan's shards.
-    std::vector<result_item> items;
-    std::uint64_t nextAttempt = 1;
+    std::vector<result_item> items; ///< A heap of the best items so far, the worst of them first.
+    std::vector<std::string> peers; ///< The daemons that this query uses as branches; kept few.
+    Core::time_point startedAt;
+    std::optional<Core::time_point> hedgeAt; ///< When the next hedge may be due.
+    std::optional<Core::time_point> retryAt; ///< When to try the waiting shards again.
+    std::optional<Core::time_point> wakeAt; ///< The time that the daemon was last given.
     std::uint32_t shardsAnswered = 0;
+    std::uint32_t shardsOpen = 0;
+    std::uint32_t shardsWaiting = 0;
     bool finished = false;
 };
 } // namespace Query
--- a/Libraries/LibQuery/SendAttempt.h
+++ b/Libraries/LibQuery/SendAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibQuery/ConnectionChoice.h"
 #include "LibQuery/ShardTarget.h"
 
 #include <cstddef>
@@ -15,5 +16,6 @@
     shard_target target;
     Core::duration timeRemaining {}; ///< Passed on to the other side as its deadline.
     Core::time_point silentAt; ///< Without an answer by then, the daemon reports attempt_failure::Silent.
+    connection_choice connection = connection_choice::Any;
 };
 } // namespace Query
--- /dev/null
+++ b/Libraries/LibWire/BranchCodec.cpp
@@ -0,0 +1,111 @@
+#include "LibWire/BranchCodec.h"
+
+#include "LibWire/TextCodec.h"
+
+#include <algorithm>
+
+namespace Wire
+{
+/// Bounds what a peer may ask for, so that a time far in the future can't overflow.
+static constexpr std::chrono::microseconds longestBranch = std::chrono::hours(1);
+
+static void encodeTexts(const std::vector<std::string> &texts, capnp::List<capnp::Text>::Builder builder)
+{
+    for (unsigned index = 0; index < builder.size(); ++index) {
+        builder.set(index, textOf(texts[index]));
+    }
+}
+
+static std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader reader)
+{
+    std::vector<std::string> texts;
+    texts.reserve(reader.size());
+    for (const auto text : reader) {
+        texts.push_back(stringOf(text));
+    }
+    return texts;
+}
+
+void encodeBranchRequest(const branch_request &request, Schema::BranchRequest::Builder builder)
+{
+    const auto remaining = std::chrono::duration_cast<std::chrono::microseconds>(request.timeRemaining);
+    builder.setRequestId(textOf(request.requestId));
+    builder.setService(textOf(request.service));
+    builder.setRoute(textOf(request.route));
+    builder.setTeam(textOf(request.team));
+    builder.setSnapshot(textOf(request.snapshot));
+    builder.setVersion(textOf(request.version));
+    builder.setText(textOf(request.text));
+    builder.setTraceParent(textOf(request.traceParent));
+    builder.setTimeRemainingMicroseconds(static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0)));
+    builder.setIdempotent(request.idempotent);
+    encodeTexts(request.shards, builder.initShards(listSize(request.shards)));
+    encodeTexts(request.dataCentres, builder.initDataCentres(listSize(request.dataCentres)));
+    builder.setConfigurationNumber(request.configurationNumber);
+}
+
+branch_request decodeBranchRequest(Schema::BranchRequest::Reader reader)
+{
+    const auto longest = static_cast<std::uint64_t>(longestBranch.count());
+    branch_request request;
+    request.requestId = stringOf(reader.getRequestId());
+    request.service = stringOf(reader.getService());
+    request.route = stringOf(reader.getRoute());
+    request.team = stringOf(reader.getTeam());
+    request.snapshot = stringOf(reader.getSnapshot());
+    request.version = stringOf(reader.getVersion());
+    request.text = stringOf(reader.getText());
+    request.traceParent = stringOf(reader.getTraceParent());
+    request.timeRemaining = std::chrono::microseconds(std::min(reader.getTimeRemainingMicroseconds(), longest));
+    request.idempotent = reader.getIdempotent();
+    request.shards = decodeTexts(reader.getShards());
+    request.dataCentres = decodeTexts(reader.getDataCentres());
+    request.configurationNumber = reader.getConfigurationNumber();
+    return request;
+}
+
+void encodeBranchAnswers(const branch_answers &answers, Schema::BranchSink::AnswersParams::Builder builder)
+{
+    auto answerList = builder.initAnswers(listSize(answers.answers));
+    for (unsigned index = 0; index < answerList.size(); ++index) {
+        const branch_shard_answer &answer = answers.answers[index];
+        answerList[index].setShard(textOf(answer.shard));
+        answerList[index].setSnapshot(textOf(answer.snapshot));
+        auto items = answerList[index].initItems(listSize(answer.items));
+        for (unsigned item = 0; item < items.size(); ++item) {
+            items[item].setId(textOf(answer.items[item].id));
+            items[item].setScore(answer.items[item].score);
+        }
+    }
+    auto failureList = builder.initFailures(listSize(answers.failures));
+    for (unsigned index = 0; index < failureList.size(); ++index) {
+        failureList[index].setShard(textOf(answers.failures[index].shard));
+        failureList[index].setFailure(static_cast<std::uint8_t>(answers.failures[index].failure));
+    }
+}
+
+/// A value that this version does not know must not read as a proof that the request did not run.
+static Backend::attempt_failure decodeFailure(std::uint8_t value)
+{
+    const auto last = static_cast<std::uint8_t>(Backend::attempt_failure::Faulty);
+    return value <= last ? static_cast<Backend::attempt_failure>(value) : Backend::attempt_failure::Faulty;
+}
+
+branch_answers decodeBranchAnswers(Schema::BranchSink::AnswersParams::Reader reader)
+{
+    branch_answers answers;
+    for (const auto encoded : reader.getAnswers()) {
+        branch_shard_answer answer;
+        answer.shard = stringOf(encoded.getShard());
+        answer.snapshot = stringOf(encoded.getSnapshot());
+        for (const auto item : encoded.getItems()) {
+            answer.items.push_back({stringOf(item.getId()), item.getScore()});
+        }
+        answers.answers.push_back(std::move(answer));
+    }
+    for (const auto failure : reader.getFailures()) {
+        answers.failures.push_back({stringOf(failure.getShard()), decodeFailure(failure.getFailure())});
+    }
+    return answers;
+}
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/GossipCodec.cpp
@@ -0,0 +1,102 @@
+#include "LibWire/GossipCodec.h"
+
+#include "LibWire/GossipSize.h"
+#include "LibWire/TextCodec.h"
+
+#include <capnp/message.h>
+
+namespace Wire
+{
+static void encodeRecord(const Membership::member_record &record, Schema::MemberRecord::Builder builder)
+{
+    builder.setName(textOf(record.name));
+    builder.setIncarnation(record.incarnation);
+    builder.setHeartbeat(record.heartbeat);
+    builder.setCallerAddress(textOf(record.callerAddress));
+    builder.setPeerAddress(textOf(record.peerAddress));
+    builder.setDataCentre(textOf(record.dataCentre));
+    builder.setLeaving(record.leaving);
+    builder.setConfigurationNumber(record.configurationNumber);
+}
+
+static Membership::member_record decodeRecord(Schema::MemberRecord::Reader reader)
+{
+    Membership::member_record record;
+    record.name = stringOf(reader.getName());
+    record.incarnation = reader.getIncarnation();
+    record.heartbeat = reader.getHeartbeat();
+    record.callerAddress = stringOf(reader.getCallerAddress());
+    record.peerAddress = stringOf(reader.getPeerAddress());
+    record.dataCentre = stringOf(reader.getDataCentre());
+    record.leaving = reader.getLeaving();
+    record.configurationNumber = reader.getConfigurationNumber();
+    return record;
+}
+
+static void encodeDigest(const std::vector<Membership::digest_entry> &digest,
+                         capnp::List<Schema::DigestEntry>::Builder builder)
+{
+    for (unsigned index = 0; index < builder.size(); ++index) {
+        const Membership::digest_entry &entry = digest[index];
+        builder[index].setId(entry.id);
+        builder[index].setHeartbeat(entry.heartbeat);
+        builder[index].setLag(entry.lag);
+        builder[index].setLeaving(entry.leaving);
+    }
+}
+
+void encodeGossip(const Membership::gossip_message &message, Schema::GossipMessage::Builder builder)
+{
+    builder.setSender(textOf(message.sender));
+    builder.setConfigurationNumber(message.configurationNumber);
+    encodeDigest(message.digest, builder.initDigest(listSize(message.digest)));
+    auto records = builder.initRecords(listSize(message.records));
+    for (unsigned index = 0; index < records.size(); ++index) {
+        encodeRecord(message.records[index], records[index]);
+    }
+    auto wanted = builder.initWanted(listSize(message.wanted));
+    for (unsigned index = 0; index < wanted.size(); ++index) {
+        wanted.set(index, message.wanted[index]);
+    }
+    auto blobs = builder.initBlobs(listSize(message.blobs));
+    for (unsigned index = 0; index < blobs.size(); ++index) {
+        blobs[index].setKey(textOf(message.blobs[index].key));
+        blobs[index].setValue(dataOf(message.blobs[index].value));
+    }
+}
+
+Membership::gossip_message decodeGossip(Schema::GossipMessage::Reader reader)
+{
+    Membership::gossip_message message;
+    message.sender = stringOf(reader.getSender());
+    message.configurationNumber = reader.getConfigurationNumber();
+    for (const auto entry : reader.getDigest()) {
+        message.digest.push_back({entry.getId(), entry.getHeartbeat(), entry.getLag(), entry.getLeaving()});
+    }
+    for (const auto record : reader.getRecords()) {
+        message.records.push_back(decodeRecord(record));
+    }
+    for (const std::uint32_t id : reader.getWanted()) {
+        message.wanted.push_back(id);
+    }
+    for (const auto blob : reader.getBlobs()) {
+        message.blobs.push_back({stringOf(blob.getKey()), stringOf(blob.getValue())});
+    }
+    return message;
+}
+
+std::size_t gossipSize(const Membership::gossip_message &message)
+{
+    // The RPC envelope of a call with its finish message, rounded up, and TCP and IP headers by packet.
+    constexpr std::size_t envelopeBytes = 160;
+    constexpr std::size_t packetHeaderBytes = 52;
+    constexpr std::size_t packetBytes = 1400;
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<Schema::GossipMessage>();
+    encodeGossip(message, root);
+    const std::size_t bytes = root.totalSize().wordCount * sizeof(capnp::word) + envelopeBytes;
+    // Each data packet is acknowledged, at worst by a packet of its own.
+    const std::size_t packets = 2 * (bytes / packetBytes + 1);
+    return bytes + packets * packetHeaderBytes;
+}
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/GossipCodec.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "LibMembership/GossipMessage.h"
+#include "LibWire/Peer.capnp.h"
+
+#include <cstddef>
+
+namespace Wire
+{
+void encodeGossip(const Membership::gossip_message &message, Schema::GossipMessage::Builder builder);
+[[nodiscard]] Membership::gossip_message decodeGossip(Schema::GossipMessage::Reader reader);
+} // namespace Wire
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -22,11 +22,21 @@
   value @1 :Data;
 }
 
+struct DigestEntry {
+  # The part of a member's record that changes often, in one word.
+  id @0 :UInt32;                  # Hash of the VM's name and incarnation.
+  heartbeat @1 :UInt16;           # Low bits of the heartbeat, compared as serial numbers.
+  lag @2 :UInt8;                  # Numbers behind the message's configurationNumber, at most 255.
+  leaving @3 :Bool;
+}
+
 struct GossipMessage {
   sender @0 :Text;
-  members @1 :List(MemberRecord);
-  configurationNumber @2 :UInt64;
-  blobs @3 :List(KeyedBlob);
+  configurationNumber @1 :UInt64;
+  digest @2 :List(DigestEntry);
+  records @3 :List(MemberRecord);
+  wanted @4 :List(UInt32);        # Identifiers whose records the sender lacks.
+  blobs @5 :List(KeyedBlob);
 }
 
 struct BranchRequest {
@@ -68,11 +78,20 @@
 
 struct BranchSummary {
   shardRequests @0 :UInt32;       # Attempts sent to backend servers, for the accounts.
+  messages @1 :UInt32;            # Calls of the sink, so that the root waits for those still on their way.
+}
+
+struct ConfigurationReply {
+  number @0 :UInt64;              # 0: nothing above the number asked for.
+  baseNumber @1 :UInt64;          # 0: text is the whole document; else a merge patch against this number.
+  text @2 :Text;
+  checksum @3 :UInt64;            # Of the whole document's text.
 }
 
 interface Peer {
   gossip @0 (message :GossipMessage) -> (reply :GossipMessage);
-  readConfiguration @1 (aboveNumber :UInt64) -> (number :UInt64, document :Text);
+  readConfiguration @1 (aboveNumber :UInt64) -> (reply :ConfigurationReply);
   runBranch @2 (request :BranchRequest, sink :BranchSink) -> (summary :BranchSummary);
   resolveRequest @3 (requestId :Text) -> (state :UInt8, answer :Text);
+  ping @4 () -> ();               # Tells a silent connection from a slow call.
 }
--- a/Libraries/LibWire/Peer.capnp.c++
+++ b/Libraries/LibWire/Peer.capnp.c++
@@ -218,17 +218,106 @@
   0, 2, i_e4c3b70b1fcb8dc3, nullptr, nullptr, { &s_e4c3b70b1fcb8dc3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<88> b_c185dd3c22873005 = {
+static const ::capnp::_::AlignedData<78> b_84076c76c8766948 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     72, 105, 118, 200, 118, 108,   7, 132,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     89,  74, 110, 123, 194, 161, 243, 208,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  68, 105, 103, 101, 115,
+    116,  69, 110, 116, 114, 121,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   6,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,  56,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,  97, 103,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_84076c76c8766948 = b_84076c76c8766948.words;
+#if !CAPNP_LITE
+static const uint16_t m_84076c76c8766948[] = {1, 0, 2, 3};
+static const uint16_t i_84076c76c8766948[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_84076c76c8766948 = {
+  0x84076c76c8766948, b_84076c76c8766948.words, 78, nullptr, m_84076c76c8766948,
+  0, 4, i_84076c76c8766948, nullptr, nullptr, { &s_84076c76c8766948, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<126> b_c185dd3c22873005 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       5,  48, 135,  34,  60, 221, 133, 193,
      11,   0,   0,   0,   1,   0,   1,   0,
      89,  74, 110, 123, 194, 161, 243, 208,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 231,   0,   0,   0,
+     29,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -236,35 +325,49 @@
     112,  77, 101, 115, 115,  97, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  58,   0,   0,   0,
+    153,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     92,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,  66,   0,   0,   0,
+    157,   0,   0,   0, 162,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    124,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   0,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0, 162,   0,   0,   0,
+    169,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    124,   0,   0,   0,   3,   0,   1,   0,
-    136,   0,   0,   0,   2,   0,   1,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    192,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,  50,   0,   0,   0,
+    189,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    128,   0,   0,   0,   3,   0,   1,   0,
-    156,   0,   0,   0,   2,   0,   1,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    212,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    209,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    204,   0,   0,   0,   3,   0,   1,   0,
+    232,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    229,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    224,   0,   0,   0,   3,   0,   1,   0,
+    252,   0,   0,   0,   2,   0,   1,   0,
     115, 101, 110, 100, 101, 114,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -273,7 +376,29 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109, 101, 109,  98, 101, 114, 115,   0,
+     99, 111, 110, 102, 105, 103, 117, 114,
+     97, 116, 105, 111, 110,  78, 117, 109,
+     98, 101, 114,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 105, 103, 101, 115, 116,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     72, 105, 118, 200, 118, 108,   7, 132,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101,  99, 111, 114, 100, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -285,14 +410,16 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 111, 110, 102, 105, 103, 117, 114,
-     97, 116, 105, 111, 110,  78, 117, 109,
-     98, 101, 114,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 110, 116, 101, 100,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      98, 108, 111,  98, 115,   0,   0,   0,
@@ -311,14 +438,15 @@
 ::capnp::word const* const bp_c185dd3c22873005 = b_c185dd3c22873005.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_c185dd3c22873005[] = {
+  &s_84076c76c8766948,
   &s_e4c3b70b1fcb8dc3,
   &s_f21acfce2fabebbe,
 };
-static const uint16_t m_c185dd3c22873005[] = {3, 2, 1, 0};
-static const uint16_t i_c185dd3c22873005[] = {0, 1, 2, 3};
+static const uint16_t m_c185dd3c22873005[] = {5, 1, 2, 3, 0, 4};
+static const uint16_t i_c185dd3c22873005[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_c185dd3c22873005 = {
-  0xc185dd3c22873005, b_c185dd3c22873005.words, 88, d_c185dd3c22873005, m_c185dd3c22873005,
-  2, 4, i_c185dd3c22873005, nullptr, nullptr, { &s_c185dd3c22873005, nullptr, nullptr, 0, 0, nullptr }
+  0xc185dd3c22873005, b_c185dd3c22873005.words, 126, d_c185dd3c22873005, m_c185dd3c22873005,
+  3, 6, i_c185dd3c22873005, nullptr, nullptr, { &s_c185dd3c22873005, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<231> b_c548c6b6267e0847 = {
@@ -902,7 +1030,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_ce9b57b4cf22d4c8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<34> b_ea20b34680d934f2 = {
+static const ::capnp::_::AlignedData<50> b_ea20b34680d934f2 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     242,  52, 217, 128,  70, 179,  32, 234,
      11,   0,   0,   0,   1,   0,   1,   0,
@@ -912,7 +1040,7 @@
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -920,16 +1048,32 @@
     104,  83, 117, 109, 109,  97, 114, 121,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0, 114,   0,   0,   0,
+     41,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
     115, 104,  97, 114, 100,  82, 101, 113,
     117, 101, 115, 116, 115,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 115, 115,  97, 103, 101, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -940,14 +1084,105 @@
 };
 ::capnp::word const* const bp_ea20b34680d934f2 = b_ea20b34680d934f2.words;
 #if !CAPNP_LITE
-static const uint16_t m_ea20b34680d934f2[] = {0};
-static const uint16_t i_ea20b34680d934f2[] = {0};
+static const uint16_t m_ea20b34680d934f2[] = {1, 0};
+static const uint16_t i_ea20b34680d934f2[] = {0, 1};
 const ::capnp::_::RawSchema s_ea20b34680d934f2 = {
-  0xea20b34680d934f2, b_ea20b34680d934f2.words, 34, nullptr, m_ea20b34680d934f2,
-  0, 1, i_ea20b34680d934f2, nullptr, nullptr, { &s_ea20b34680d934f2, nullptr, nullptr, 0, 0, nullptr }
+  0xea20b34680d934f2, b_ea20b34680d934f2.words, 50, nullptr, m_ea20b34680d934f2,
+  0, 2, i_ea20b34680d934f2, nullptr, nullptr, { &s_ea20b34680d934f2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<80> b_a26d805d3d1b18df = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    223,  24,  27,  61,  93, 128, 109, 162,
+     11,   0,   0,   0,   1,   0,   3,   0,
+     89,  74, 110, 123, 194, 161, 243, 208,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 111, 110, 102, 105,
+    103, 117, 114,  97, 116, 105, 111, 110,
+     82, 101, 112, 108, 121,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,   0,   0,   0,   3,   0,   1,   0,
+    124,   0,   0,   0,   2,   0,   1,   0,
+    110, 117, 109,  98, 101, 114,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98,  97, 115, 101,  78, 117, 109,  98,
+    101, 114,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 101, 120, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 104, 101,  99, 107, 115, 117, 109,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a26d805d3d1b18df = b_a26d805d3d1b18df.words;
+#if !CAPNP_LITE
+static const uint16_t m_a26d805d3d1b18df[] = {1, 3, 0, 2};
+static const uint16_t i_a26d805d3d1b18df[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_a26d805d3d1b18df = {
+  0xa26d805d3d1b18df, b_a26d805d3d1b18df.words, 80, nullptr, m_a26d805d3d1b18df,
+  0, 4, i_a26d805d3d1b18df, nullptr, nullptr, { &s_a26d805d3d1b18df, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<61> b_f2e46353aa7bfb58 = {
+static const ::capnp::_::AlignedData<71> b_f2e46353aa7bfb58 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      88, 251, 123, 170,  83,  99, 228, 242,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -957,45 +1192,53 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   7,   1,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   1,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      69, 185,   4,  15,  89,  28, 220, 233,
     145, 229, 140,  81,  14, 129, 209, 130,
-    113,   0,   0,   0,  58,   0,   0,   0,
+    145,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 114, 124,  87, 239,  27, 121, 244,
      61, 229,  21, 121, 142, 192, 192, 188,
-     89,   0,   0,   0, 146,   0,   0,   0,
+    121,   0,   0,   0, 146,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     101,   3,  62, 157, 241,  51,  49, 133,
     239, 123, 225, 235, 224, 176,  14, 166,
-     73,   0,   0,   0,  82,   0,   0,   0,
+    105,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     186, 239,  35, 138, 172,  94, 105, 221,
     243, 252, 246,  97, 205,  13,  58, 170,
-     53,   0,   0,   0, 122,   0,   0,   0,
+     85,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    124, 254, 186, 112, 121, 180, 223, 227,
+    220, 116, 207, 216,  30, 103,  42, 248,
+     65,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101,  97, 100,  67, 111, 110, 102,
@@ -1008,6 +1251,8 @@
     114, 101, 115, 111, 108, 118, 101,  82,
     101, 113, 117, 101, 115, 116,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 105, 110, 103,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_f2e46353aa7bfb58 = b_f2e46353aa7bfb58.words;
@@ -1019,13 +1264,15 @@
   &s_aa3a0dcd61f6fcf3,
   &s_bcc0c08e7915e53d,
   &s_dd695eac8a23efba,
+  &s_e3dfb47970bafe7c,
   &s_e9dc1c590f04b945,
   &s_f4791bef577c7272,
+  &s_f82a671ed8cf74dc,
 };
-static const uint16_t m_f2e46353aa7bfb58[] = {0, 1, 3, 2};
+static const uint16_t m_f2e46353aa7bfb58[] = {0, 4, 1, 3, 2};
 const ::capnp::_::RawSchema s_f2e46353aa7bfb58 = {
-  0xf2e46353aa7bfb58, b_f2e46353aa7bfb58.words, 61, d_f2e46353aa7bfb58, m_f2e46353aa7bfb58,
-  8, 4, nullptr, nullptr, nullptr, { &s_f2e46353aa7bfb58, nullptr, nullptr, 0, 0, nullptr }
+  0xf2e46353aa7bfb58, b_f2e46353aa7bfb58.words, 71, d_f2e46353aa7bfb58, m_f2e46353aa7bfb58,
+  10, 5, nullptr, nullptr, nullptr, { &s_f2e46353aa7bfb58, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_e9dc1c590f04b945 = {
@@ -1166,17 +1413,17 @@
   0, 1, i_f4791bef577c7272, nullptr, nullptr, { &s_f4791bef577c7272, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<50> b_bcc0c08e7915e53d = {
+static const ::capnp::_::AlignedData<34> b_bcc0c08e7915e53d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      61, 229,  21, 121, 142, 192, 192, 188,
-     16,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  82,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -1185,46 +1432,33 @@
     105, 103, 117, 114,  97, 116, 105, 111,
     110,  36,  82, 101, 115, 117, 108, 116,
     115,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  58,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  74,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
-    110, 117, 109,  98, 101, 114,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    100, 111,  99, 117, 109, 101, 110, 116,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    223,  24,  27,  61,  93, 128, 109, 162,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_bcc0c08e7915e53d = b_bcc0c08e7915e53d.words;
 #if !CAPNP_LITE
-static const uint16_t m_bcc0c08e7915e53d[] = {1, 0};
-static const uint16_t i_bcc0c08e7915e53d[] = {0, 1};
+static const ::capnp::_::RawSchema* const d_bcc0c08e7915e53d[] = {
+  &s_a26d805d3d1b18df,
+};
+static const uint16_t m_bcc0c08e7915e53d[] = {0};
+static const uint16_t i_bcc0c08e7915e53d[] = {0};
 const ::capnp::_::RawSchema s_bcc0c08e7915e53d = {
-  0xbcc0c08e7915e53d, b_bcc0c08e7915e53d.words, 50, nullptr, m_bcc0c08e7915e53d,
-  0, 2, i_bcc0c08e7915e53d, nullptr, nullptr, { &s_bcc0c08e7915e53d, nullptr, nullptr, 0, 0, nullptr }
+  0xbcc0c08e7915e53d, b_bcc0c08e7915e53d.words, 34, d_bcc0c08e7915e53d, m_bcc0c08e7915e53d,
+  1, 1, i_bcc0c08e7915e53d, nullptr, nullptr, { &s_bcc0c08e7915e53d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_853133f19d3e0365 = {
@@ -1441,6 +1675,56 @@
   0, 2, i_aa3a0dcd61f6fcf3, nullptr, nullptr, { &s_aa3a0dcd61f6fcf3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_e3dfb47970bafe7c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    124, 254, 186, 112, 121, 180, 223, 227,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e3dfb47970bafe7c = b_e3dfb47970bafe7c.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_e3dfb47970bafe7c = {
+  0xe3dfb47970bafe7c, b_e3dfb47970bafe7c.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_e3dfb47970bafe7c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_f82a671ed8cf74dc = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    220, 116, 207, 216,  30, 103,  42, 248,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    112, 105, 110, 103,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f82a671ed8cf74dc = b_f82a671ed8cf74dc.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_f82a671ed8cf74dc = {
+  0xf82a671ed8cf74dc, b_f82a671ed8cf74dc.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_f82a671ed8cf74dc, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1465,6 +1749,14 @@
 constexpr ::capnp::_::RawSchema const* KeyedBlob::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// DigestEntry
+constexpr uint16_t DigestEntry::_capnpPrivate::dataWordSize;
+constexpr uint16_t DigestEntry::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind DigestEntry::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* DigestEntry::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // GossipMessage
 constexpr uint16_t GossipMessage::_capnpPrivate::dataWordSize;
 constexpr uint16_t GossipMessage::_capnpPrivate::pointerCount;
@@ -1575,6 +1867,14 @@
 constexpr ::capnp::_::RawSchema const* BranchSummary::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ConfigurationReply
+constexpr uint16_t ConfigurationReply::_capnpPrivate::dataWordSize;
+constexpr uint16_t ConfigurationReply::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ConfigurationReply::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ConfigurationReply::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Wire::Schema::Peer::GossipParams,  ::Wire::Schema::Peer::GossipResults>
 Peer::Client::gossipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1616,6 +1916,16 @@
       "Peer.capnp:Peer", "resolveRequest",
       0xf2e46353aa7bfb58ull, 3);
 }
+::capnp::Request< ::Wire::Schema::Peer::PingParams,  ::Wire::Schema::Peer::PingResults>
+Peer::Client::pingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Wire::Schema::Peer::PingParams,  ::Wire::Schema::Peer::PingResults>(
+      0xf2e46353aa7bfb58ull, 4, sizeHint);
+}
+::kj::Promise<void> Peer::Server::ping(PingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Peer.capnp:Peer", "ping",
+      0xf2e46353aa7bfb58ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1654,6 +1964,12 @@
              ::Wire::Schema::Peer::ResolveRequestParams,  ::Wire::Schema::Peer::ResolveRequestResults>(context)),
         false
       };
+    case 4:
+      return {
+        ping(::capnp::Capability::Server::internalGetTypedContext<
+             ::Wire::Schema::Peer::PingParams,  ::Wire::Schema::Peer::PingResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1733,6 +2049,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ResolveRequestResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::PingParams
+constexpr uint16_t Peer::PingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::PingResults
+constexpr uint16_t Peer::PingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::PingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::PingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::PingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(f21acfce2fabebbe);
 CAPNP_DECLARE_SCHEMA(e4c3b70b1fcb8dc3);
+CAPNP_DECLARE_SCHEMA(84076c76c8766948);
 CAPNP_DECLARE_SCHEMA(c185dd3c22873005);
 CAPNP_DECLARE_SCHEMA(c548c6b6267e0847);
 CAPNP_DECLARE_SCHEMA(e33664a3b7047b68);
@@ -30,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(b5884f8913dbc36e);
 CAPNP_DECLARE_SCHEMA(ce9b57b4cf22d4c8);
 CAPNP_DECLARE_SCHEMA(ea20b34680d934f2);
+CAPNP_DECLARE_SCHEMA(a26d805d3d1b18df);
 CAPNP_DECLARE_SCHEMA(f2e46353aa7bfb58);
 CAPNP_DECLARE_SCHEMA(e9dc1c590f04b945);
 CAPNP_DECLARE_SCHEMA(82d1810e518ce591);
@@ -39,6 +41,8 @@
 CAPNP_DECLARE_SCHEMA(a60eb0e0ebe17bef);
 CAPNP_DECLARE_SCHEMA(dd695eac8a23efba);
 CAPNP_DECLARE_SCHEMA(aa3a0dcd61f6fcf3);
+CAPNP_DECLARE_SCHEMA(e3dfb47970bafe7c);
+CAPNP_DECLARE_SCHEMA(f82a671ed8cf74dc);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -76,6 +80,21 @@
   };
 };
 
+struct DigestEntry {
+  DigestEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84076c76c8766948, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct GossipMessage {
   GossipMessage() = delete;
 
@@ -84,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -215,6 +234,21 @@
   };
 };
 
+struct ConfigurationReply {
+  ConfigurationReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a26d805d3d1b18df, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -231,6 +265,8 @@
   struct RunBranchResults;
   struct ResolveRequestParams;
   struct ResolveRequestResults;
+  struct PingParams;
+  struct PingResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -293,7 +329,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcc0c08e7915e53d, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bcc0c08e7915e53d, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -360,6 +396,36 @@
   };
 };
 
+struct Peer::PingParams {
+  PingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e3dfb47970bafe7c, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::PingResults {
+  PingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f82a671ed8cf74dc, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class MemberRecord::Reader {
@@ -584,6 +650,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class DigestEntry::Reader {
+public:
+  typedef DigestEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline  ::uint16_t getHeartbeat() const;
+
+  inline  ::uint8_t getLag() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DigestEntry::Builder {
+public:
+  typedef DigestEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline  ::uint16_t getHeartbeat();
+  inline void setHeartbeat( ::uint16_t value);
+
+  inline  ::uint8_t getLag();
+  inline void setLag( ::uint8_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DigestEntry::Pipeline {
+public:
+  typedef DigestEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GossipMessage::Reader {
 public:
   typedef GossipMessage Reads;
@@ -604,11 +761,17 @@
   inline bool hasSender() const;
   inline  ::capnp::Text::Reader getSender() const;
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
-
   inline  ::uint64_t getConfigurationNumber() const;
 
+  inline bool hasDigest() const;
+  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader getDigest() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+
   inline bool hasBlobs() const;
   inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader getBlobs() const;
 
@@ -647,16 +810,31 @@
   inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
-
   inline  ::uint64_t getConfigurationNumber();
   inline void setConfigurationNumber( ::uint64_t value);
 
+  inline bool hasDigest();
+  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder getDigest();
+  inline void setDigest( ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>> disownDigest();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+
   inline bool hasBlobs();
   inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder getBlobs();
   inline void setBlobs( ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader value);
@@ -1385,6 +1563,8 @@
 
   inline  ::uint32_t getShardRequests() const;
 
+  inline  ::uint32_t getMessages() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1416,6 +1596,9 @@
   inline  ::uint32_t getShardRequests();
   inline void setShardRequests( ::uint32_t value);
 
+  inline  ::uint32_t getMessages();
+  inline void setMessages( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1442,6 +1625,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfigurationReply::Reader {
+public:
+  typedef ConfigurationReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getBaseNumber() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Text::Reader getText() const;
+
+  inline  ::uint64_t getChecksum() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationReply::Builder {
+public:
+  typedef ConfigurationReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getBaseNumber();
+  inline void setBaseNumber( ::uint64_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Text::Builder getText();
+  inline void setText( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownText();
+
+  inline  ::uint64_t getChecksum();
+  inline void setChecksum( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationReply::Pipeline {
+public:
+  typedef ConfigurationReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1469,6 +1748,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Wire::Schema::Peer::ResolveRequestParams,  ::Wire::Schema::Peer::ResolveRequestResults> resolveRequestRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Wire::Schema::Peer::PingParams,  ::Wire::Schema::Peer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1501,6 +1782,10 @@
   typedef  ::Wire::Schema::Peer::ResolveRequestResults ResolveRequestResults;
   typedef ::capnp::CallContext<ResolveRequestParams, ResolveRequestResults> ResolveRequestContext;
   virtual ::kj::Promise<void> resolveRequest(ResolveRequestContext context);
+  typedef  ::Wire::Schema::Peer::PingParams PingParams;
+  typedef  ::Wire::Schema::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
 
   inline  ::Wire::Schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1770,10 +2055,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
-
-  inline bool hasDocument() const;
-  inline  ::capnp::Text::Reader getDocument() const;
+  inline bool hasReply() const;
+  inline  ::Wire::Schema::ConfigurationReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1803,15 +2086,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool hasDocument();
-  inline  ::capnp::Text::Builder getDocument();
-  inline void setDocument( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDocument();
+  inline bool hasReply();
+  inline  ::Wire::Schema::ConfigurationReply::Builder getReply();
+  inline void setReply( ::Wire::Schema::ConfigurationReply::Reader value);
+  inline  ::Wire::Schema::ConfigurationReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Wire::Schema::ConfigurationReply>&& value);
+  inline ::capnp::Orphan< ::Wire::Schema::ConfigurationReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1831,6 +2111,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Wire::Schema::ConfigurationReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2185,38 +2466,180 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
 
-inline bool MemberRecord::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberRecord::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MemberRecord::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void MemberRecord::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownName() {
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingParams::Builder {
+public:
+  typedef PingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingParams::Pipeline {
+public:
+  typedef PingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingResults::Reader {
+public:
+  typedef PingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::PingResults::Builder {
+public:
+  typedef PingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::PingResults::Pipeline {
+public:
+  typedef PingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool MemberRecord::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberRecord::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberRecord::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberRecord::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2447,6 +2870,62 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t DigestEntry::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DigestEntry::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DigestEntry::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t DigestEntry::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t DigestEntry::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DigestEntry::Builder::setHeartbeat( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t DigestEntry::Reader::getLag() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t DigestEntry::Builder::getLag() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void DigestEntry::Builder::setLag( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DigestEntry::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+}
+
+inline bool DigestEntry::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+}
+inline void DigestEntry::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2481,86 +2960,158 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::hasMembers() const {
+inline  ::uint64_t GossipMessage::Reader::getConfigurationNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getConfigurationNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setConfigurationNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::hasDigest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasMembers() {
+inline bool GossipMessage::Builder::hasDigest() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setMembers( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void GossipMessage::Builder::setDigest( ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void GossipMessage::Builder::adoptDigest(
+    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GossipMessage::Reader::getConfigurationNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setRecords( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GossipMessage::Builder::getConfigurationNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool GossipMessage::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipMessage::Builder::setConfigurationNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool GossipMessage::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setWanted(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool GossipMessage::Reader::hasBlobs() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool GossipMessage::Builder::hasBlobs() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getBlobs() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getBlobs() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void GossipMessage::Builder::setBlobs( ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initBlobs(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptBlobs(
     ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownBlobs() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool BranchRequest::Reader::hasRequestId() const {
@@ -3257,6 +3808,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BranchSummary::Reader::getMessages() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BranchSummary::Builder::getMessages() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BranchSummary::Builder::setMessages( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigurationReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigurationReply::Reader::getBaseNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationReply::Builder::getBaseNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationReply::Builder::setBaseNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationReply::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationReply::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigurationReply::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigurationReply::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationReply::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigurationReply::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationReply::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationReply::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConfigurationReply::Reader::getChecksum() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationReply::Builder::getChecksum() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationReply::Builder::setChecksum( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3373,51 +4014,42 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::ReadConfigurationResults::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::ReadConfigurationResults::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ReadConfigurationResults::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::ReadConfigurationResults::Reader::hasDocument() const {
+inline bool Peer::ReadConfigurationResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ReadConfigurationResults::Builder::hasDocument() {
+inline bool Peer::ReadConfigurationResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ReadConfigurationResults::Reader::getDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::Wire::Schema::ConfigurationReply::Reader Peer::ReadConfigurationResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ReadConfigurationResults::Builder::getDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ReadConfigurationResults::Builder::setDocument( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Wire::Schema::ConfigurationReply::Pipeline Peer::ReadConfigurationResults::Pipeline::getReply() {
+  return  ::Wire::Schema::ConfigurationReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReadConfigurationResults::Builder::setReply( ::Wire::Schema::ConfigurationReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ReadConfigurationResults::Builder::initDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ReadConfigurationResults::Builder::adoptDocument(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::ReadConfigurationResults::Builder::adoptReply(
+    ::capnp::Orphan< ::Wire::Schema::ConfigurationReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ReadConfigurationResults::Builder::disownDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Wire::Schema::ConfigurationReply> Peer::ReadConfigurationResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Libraries/LibWire/PeerHandlers.h
+++ b/Libraries/LibWire/PeerHandlers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibMembership/GossipMessage.h"
 #include "LibWire/BranchRequest.h"
 #include "LibWire/BranchStream.h"
 #include "LibWire/ConfigurationReply.h"
@@ -9,11 +10,6 @@
 #include <functional>
 #include <string>
 
-namespace Membership
-{
-struct gossip_message;
-}
-
 namespace Wire
 {
 /// What the daemon does with peers' requests. The handlers run on the network's thread and must not block. A missing
--- /dev/null
+++ b/Libraries/LibWire/PeerLink.cpp
@@ -0,0 +1,94 @@
+#include "LibWire/PeerLink.h"
+
+#include "LibWire/PeerNetworkOptions.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace Wire
+{
+static kj::ForkedPromise<void> makeCondemned(kj::Own<kj::PromiseFulfiller<void>> &fulfiller)
+{
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    fulfiller = kj::mv(pair.fulfiller);
+    return pair.promise.fork();
+}
+
+peer_link::peer_link(kj::AsyncIoProvider &provider, const std::string &address, const peer_network_options &options)
+    : m_provider(provider)
+    , m_options(options)
+    , m_condemned(makeCondemned(m_condemnFulfiller))
+    , m_connected(connect(address).fork())
+    , m_check(kj::READY_NOW)
+    , m_disconnect(kj::READY_NOW)
+{
+}
+
+static kj::Duration toKj(std::chrono::milliseconds time)
+{
+    return time.count() * kj::MILLISECONDS;
+}
+
+kj::Promise<void> peer_link::connect(const std::string &address)
+{
+    auto connecting =
+        m_provider.getNetwork().parseAddress(address.c_str()).then([](kj::Own<kj::NetworkAddress> parsed) {
+            auto promise = parsed->connect();
+            return promise.attach(kj::mv(parsed));
+        });
+    return m_provider.getTimer()
+        .timeoutAfter(toKj(m_options.connectTimeout), kj::mv(connecting))
+        .then(
+            [this](kj::Own<kj::AsyncIoStream> stream) {
+                const int enabled = 1;
+                stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+                m_stream = kj::mv(stream);
+                m_client = kj::heap<capnp::TwoPartyClient>(*m_stream);
+                m_peer = m_client->bootstrap().castAs<Schema::Peer>();
+                m_disconnect = m_client->onDisconnect().then([this] { condemn(); }).eagerlyEvaluate(nullptr);
+            },
+            [this](kj::Exception &&failure) {
+                condemn();
+                kj::throwFatalException(kj::mv(failure));
+            });
+}
+
+kj::Promise<void> peer_link::connected()
+{
+    return m_connected.addBranch();
+}
+
+Schema::Peer::Client &peer_link::peer()
+{
+    return KJ_ASSERT_NONNULL(m_peer);
+}
+
+void peer_link::condemn()
+{
+    m_isCondemned = true;
+    m_condemnFulfiller->fulfill();
+}
+
+void peer_link::startCheck()
+{
+    if (m_isChecked || m_isCondemned) {
+        return;
+    }
+    m_isChecked = true;
+    m_check = checkLoop().eagerlyEvaluate(nullptr);
+}
+
+kj::Promise<void> peer_link::checkLoop()
+{
+    return m_provider.getTimer().afterDelay(toKj(m_options.pingPeriod)).then([this]() -> kj::Promise<void> {
+        if (m_running == 0) {
+            m_isChecked = false;
+            return kj::READY_NOW;
+        }
+        auto ping = peer().pingRequest().send().ignoreResult();
+        return m_provider.getTimer()
+            .timeoutAfter(toKj(m_options.silenceBound), kj::mv(ping))
+            .then([this] { return checkLoop(); }, [this](kj::Exception &&) { condemn(); });
+    });
+}
+} // namespace Wire
--- /dev/null
+++ b/Libraries/LibWire/PeerLink.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "LibWire/Peer.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/refcount.h>
+
+#include <string>
+
+namespace Wire
+{
+struct peer_network_options;
+
+/// One connection to a peer. While calls run on it, it is checked by pings; once it is condemned its calls fail and
+/// nobody starts another on it.
+class peer_link : public kj::Refcounted
+{
+public:
+    peer_link(kj::AsyncIoProvider &provider, const std::string &address, const peer_network_options &options);
+
+    /// Resolves when the connection stands.
+    kj::Promise<void> connected();
+    Schema::Peer::Client &peer();
+    /// Fails a call as disconnected as soon as the link is condemned, and keeps the link checked meanwhile.
+    template<typename Value> kj::Promise<Value> watch(kj::Promise<Value> call)
+    {
+        startCheck();
+        ++m_running;
+        return call
+            .exclusiveJoin(m_condemned.addBranch().then(
+                []() -> kj::Promise<Value> { return KJ_EXCEPTION(DISCONNECTED, "the connection was condemned"); }))
+            .attach(kj::defer([this] { --m_running; }))
+            .attach(kj::addRef(*this));
+    }
+    void condemn();
+    bool isCondemned() const
+    {
+        return m_isCondemned;
+    }
+
+private:
+    kj::Promise<void> connect(const std::string &address);
+    void startCheck();
+    kj::Promise<void> checkLoop();
+
+    kj::AsyncIoProvider &m_provider;
+    const peer_network_options &m_options;
+    kj::Own<kj::AsyncIoStream> m_stream;
+    kj::Own<capnp::TwoPartyClient> m_client;
+    kj::Maybe<Schema::Peer::Client> m_peer;
+    kj::Own<kj::PromiseFulfiller<void>> m_condemnFulfiller;
+    kj::ForkedPromise<void> m_condemned;
+    bool m_isCondemned = false;
+    bool m_isChecked = false;
+    int m_running = 0;
+    kj::ForkedPromise<void> m_connected;
+    kj::Promise<void> m_check;
+    kj::Promise<void> m_disconnect;
+};
+} // namespace Wire
--- a/Libraries/LibWire/PeerNetwork.h
+++ b/Libraries/LibWire/PeerNetwork.h
@@ -35,16 +35,18 @@
 
     /// Errors: Unavailable, when no connection could be made or it broke; TimedOut.
     void sendGossip(const std::string &address, Membership::gossip_message message,
-                    completion<Membership::gossip_message> done);
-    void readConfiguration(const std::string &address, std::uint64_t aboveNumber, completion<configuration_reply> done);
-    void resolveRequest(const std::string &address, const std::string &requestId, completion<resolve_reply> done);
+                    const completion<Membership::gossip_message> &done);
+    void readConfiguration(const std::string &address, std::uint64_t aboveNumber,
+                           const completion<configuration_reply> &done);
+    void resolveRequest(const std::string &address, const std::string &requestId,
+                        const completion<resolve_reply> &done);
 
     /// Starts a branch at a peer and returns its number. `onAnswers` is called for each message of the branch, then
     /// `onEnd` once. Errors: NotFound, when no connection could be made and so no byte of the request left;
     /// Unavailable, when the connection broke or was condemned after the request may have left; TimedOut, when the
     /// request's time ran out.
     std::uint64_t startBranch(const std::string &address, branch_request request,
-                              std::function<void(branch_answers)> onAnswers, completion<branch_summary> onEnd);
+                              std::function<void(branch_answers)> onAnswers, const completion<branch_summary> &onEnd);
     /// Tells the peer to stop the branch. Neither function of the branch starts after the network has seen this.
     void cancelBranch(std::uint64_t branch);
 
--- /dev/null
+++ b/Libraries/LibWire/ServedBranch.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+
+namespace Wire
+{
+/// What the network's thread and the stream of one branch share: whether the root still waits. All functions may be
+/// called from any thread.
+class served_branch
+{
+public:
+    /// Marks the branch as cancelled, unless it has ended, and calls the handler.
+    void cancel();
+    /// Marks the branch as ended; returns false if it had ended or was cancelled.
+    bool end();
+    bool isCancelled() const;
+    bool isOver() const;
+    void onCancel(std::function<void()> handler);
+
+private:
+    mutable std::mutex m_mutex;
+    bool m_cancelled = false; ///< Guarded by m_mutex.
+    bool m_ended = false; ///< Guarded by m_mutex.
+    std::function<void()> m_handler; ///< Guarded by m_mutex.
+};
+} // namespace Wire
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -6,6 +6,7 @@
 #include "LibPlatform/CallOutcome.h"
 #include "LibPlatform/HttpCall.h"
 #include "LibPlatform/ShardCall.h"
+#include "LibQuery/CancelledEnd.h"
 #include "LibQuery/QueryEvents.h"
 #include "LibQuery/ShardAnswer.h"
 #include "RunningQuery.h"
@@ -114,8 +115,8 @@
     for (const Query::send_attempt &attempt : effects.sends) {
         send(query, running, attempt);
     }
-    for (const std::uint64_t attempt : effects.cancels) {
-        cancel(running, attempt);
+    for (const Query::cancel_attempt &attempt : effects.cancels) {
+        cancel(query, running, attempt);
     }
     if (effects.finished) {
         const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
@@ -164,6 +165,9 @@
     Platform::http_call call = Platform::encodeShardCall(makeCall(running, attempt, std::move(address)));
     call.timeout = std::min<Core::duration>(attempt.timeRemaining, attempt.silentAt - std::chrono::steady_clock::now());
     call.oldestConnection = oldestConnection;
+    if (attempt.connection == Query::connection_choice::Fresh) {
+        call.reuse = Platform::connection_reuse::Forbidden;
+    }
     const std::uint64_t number = attempt.attempt;
     running.calls[number] =
         m_client.start(std::move(call), [this, query, number](const Platform::call_outcome &outcome) {
@@ -172,28 +176,49 @@
 }
 
 /// Asks the replica to stop. The call itself goes on, so that its connection can be kept when the end arrives.
-void query_worker::cancel(running_query &running, std::uint64_t attempt)
+void query_worker::cancel(std::uint64_t query, running_query &running, const Query::cancel_attempt &attempt)
 {
     Platform::shard_call call;
-    call.address = running.addresses.at(attempt);
-    call.attemptId = attemptName(running, attempt);
+    call.address = running.addresses.at(attempt.attempt);
+    call.attemptId = attemptName(running, attempt.attempt);
+    m_cancelled[{query, attempt.attempt}] = {running.service, attempt};
     m_client.start(Platform::encodeCancelCall(call), [](const Platform::call_outcome &) {});
 }
 
+using decoded_answer = std::variant<Query::shard_answer, Backend::failed_attempt>;
+
+static Query::cancelled_end endOf(const decoded_answer &decoded)
+{
+    if (std::holds_alternative<Query::shard_answer>(decoded)) {
+        return Query::cancelled_end::Answered;
+    }
+    const bool stopped = std::get<Backend::failed_attempt>(decoded).failure == Backend::attempt_failure::Cancelled;
+    return stopped ? Query::cancelled_end::Stopped : Query::cancelled_end::Failed;
+}
+
 void query_worker::finishAttempt(std::uint64_t query, std::uint64_t attempt, const Platform::call_outcome &outcome)
 {
+    decoded_answer decoded = Platform::decodeShardAnswer(outcome);
+    const Core::time_point now = std::chrono::steady_clock::now();
+    const auto cancelled = m_cancelled.find({query, attempt});
+    if (cancelled != m_cancelled.end()) {
+        const cancelled_call ended = cancelled->second;
+        m_cancelled.erase(cancelled);
+        const std::scoped_lock lock(ended.service->mutex);
+        Query::onCancelledEnd(ended.service->state, ended.attempt, endOf(decoded), now);
+        return;
+    }
     const auto found = m_queries.find(query);
     if (found == m_queries.end()) {
         return;
     }
     running_query &running = *found->second;
     running.calls.erase(attempt);
-    const auto decoded = Platform::decodeShardAnswer(outcome);
-    const Core::time_point now = std::chrono::steady_clock::now();
     std::unique_lock lock(running.service->mutex);
     Backend::service_state &service = running.service->state;
     Query::query_effects effects = std::holds_alternative<Query::shard_answer>(decoded)
-        ? Query::onAnswer(running.state, service, attempt, std::get<Query::shard_answer>(decoded), now, m_random)
+        ? Query::onAnswer(running.state, service, attempt, std::get<Query::shard_answer>(std::move(decoded)), now,
+                          m_random)
         : Query::onFailure(running.state, service, attempt, std::get<Backend::failed_attempt>(decoded), now, m_random);
     lock.unlock();
     carryOut(query, std::move(effects));
--- a/Services/ragwortcrankd/QueryWorker.h
+++ b/Services/ragwortcrankd/QueryWorker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CancelledCall.h"
 #include "LibCore/RandomEngine.h"
 #include "LibPlatform/HttpClient.h"
 #include "QueryTask.h"
@@ -12,10 +13,12 @@
 #include <mutex>
 #include <queue>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace Query
 {
+struct cancel_attempt;
 struct query_effects;
 struct send_attempt;
 } // namespace Query
@@ -44,13 +47,14 @@
     void fireTimers();
     void carryOut(std::uint64_t query, Query::query_effects effects);
     void send(std::uint64_t query, running_query &running, const Query::send_attempt &attempt);
-    void cancel(running_query &running, std::uint64_t attempt);
+    void cancel(std::uint64_t query, running_query &running, const Query::cancel_attempt &attempt);
     void finishAttempt(std::uint64_t query, std::uint64_t attempt, const Platform::call_outcome &outcome);
 
     daemon_state &m_daemon;
     Core::random_engine m_random;
     Platform::http_client m_client;
     std::map<std::uint64_t, std::unique_ptr<running_query>> m_queries;
+    std::map<std::pair<std::uint64_t, std::uint64_t>, cancelled_call> m_cancelled; ///< By query and attempt.
     std::uint64_t m_nextQuery = 1;
     struct later {
         bool operator()(const query_timer &left, const query_timer &right) const
--- /dev/null
+++ b/Tests/LibBackend/TestSilence.cpp
@@ -0,0 +1,61 @@
+#include "LibBackend/FailedAttempt.h"
+#include "LibBackend/SilenceBound.h"
+#include "ServiceFixture.h"
+
+namespace
+{
+struct silence : service_fixture {
+    void SetUp() override
+    {
+        service_fixture::SetUp();
+        warmAll();
+        for (int count = 0; count < 100; ++count) {
+            answer("a1", {"i1", 0.0, false, false});
+            answer("a2", {"i1", 0.0, false, false});
+        }
+    }
+
+    void fallSilent(const std::string &name)
+    {
+        Backend::recordSent(service, service.byName.at(name), now);
+        now += Backend::silenceBound(service, service.byName.at(name));
+        Backend::recordFailure(service, service.byName.at(name), Backend::attempt_failure::Silent, now);
+    }
+};
+} // namespace
+
+TEST_F(silence, ASilenceSuspectsConnectionsAndNotTheReplica)
+{
+    EXPECT_FALSE(Backend::oldestUsableConnection(replica("a1"), now));
+    fallSilent("a1");
+    EXPECT_LE(replica("a1").avoidUntil, now);
+    now += std::chrono::seconds(3);
+    EXPECT_EQ(Backend::oldestUsableConnection(replica("a1"), now), std::chrono::seconds(3));
+    EXPECT_FALSE(Backend::oldestUsableConnection(replica("a2"), now));
+    now += std::chrono::minutes(3);
+    EXPECT_FALSE(Backend::oldestUsableConnection(replica("a1"), now)) << "no idle connection is that old";
+}
+
+TEST_F(silence, TheBoundIsWellAboveStragglersAndWellBelowTheDeadline)
+{
+    const Core::duration bound = Backend::silenceBound(service, service.byName.at("a1"));
+    EXPECT_GT(bound, std::chrono::milliseconds(5 * 20));
+    EXPECT_LT(bound, std::chrono::milliseconds(500));
+    answer("a2", {"i1", 0.0, false, false}, std::chrono::milliseconds(300));
+    EXPECT_GT(Backend::silenceBound(service, service.byName.at("a1")), std::chrono::milliseconds(300));
+}
+
+TEST_F(silence, ASlowReplicaIsNotCondemnedOverAndOver)
+{
+    const Core::duration slow = std::chrono::milliseconds(700);
+    int condemned = 0;
+    for (int count = 0; count < 20; ++count) {
+        if (Backend::silenceBound(service, service.byName.at("a1")) < slow) {
+            fallSilent("a1");
+            ++condemned;
+        } else {
+            answer("a1", {"i1", 0.0, false, false}, slow);
+        }
+    }
+    EXPECT_LE(condemned, 3);
+}
