LibQuery: Bound hedges at each replica and learn from overtaken answers

Cause: with ignored cancellation, one shard that was busy by chance was hedged by every query; the service's budget of 5% over 25 shards allows to double one shard's load, so its queue never drained (p50 240 ms while the median shard answer took 6.5 ms). Ruled out: silent connections (none were reported) and an avoided replica (all three were alike). Conclusion: the budget has to hold per replica, not only per service.

--- a/Benchmarks/Policy/FakeReplica.h
+++ b/Benchmarks/Policy/FakeReplica.h
@@ -28,6 +28,12 @@
     /// Turns it cold, as a restart does; `announced` says whether its reports show it.
     void turnCold(bool announced);
 
+    /// Requests that run or wait.
+    [[nodiscard]] std::size_t held() const
+    {
+        return m_running.size() + m_waiting.size();
+    }
+
     std::map<std::string, std::uint32_t> runsByRequest; ///< How often each request id was started; only if kept.
     bool keepsRuns = false;
     std::uint64_t started = 0;
--- a/Libraries/LibBackend/ExtraLoadBudget.cpp
+++ b/Libraries/LibBackend/ExtraLoadBudget.cpp
@@ -1,5 +1,7 @@
 #include "LibBackend/ExtraLoadBudget.h"
 
+#include "LibBackend/ReplicaState.h"
+
 #include <algorithm>
 
 namespace Backend
@@ -22,6 +24,24 @@
     return true;
 }
 
+void earnHedgeToken(replica_state &replica, double honouredPart)
+{
+    constexpr double earnedAlways = 0.1;
+    constexpr double earnedIfHonoured = 0.4;
+    constexpr double mostHedgeTokens = 3.0;
+    const double earned = earnedAlways + earnedIfHonoured * honouredPart;
+    replica.hedgeTokens = std::min(replica.hedgeTokens + earned, mostHedgeTokens);
+}
+
+bool takeHedgeToken(replica_state &replica)
+{
+    if (replica.hedgeTokens < 1.0) {
+        return false;
+    }
+    replica.hedgeTokens -= 1.0;
+    return true;
+}
+
 void returnToken(extra_load_budget &budget)
 {
     budget.tokens += 1.0;
--- a/Libraries/LibBackend/ReplicaEvents.cpp
+++ b/Libraries/LibBackend/ReplicaEvents.cpp
@@ -84,6 +84,16 @@
     ++replica.consecutiveFailures;
 }
 
+void recordOvertaken(service_state &service, std::size_t index, Core::duration elapsed, Core::time_point now)
+{
+    replica_state &replica = service.replicas[index];
+    const double seconds = Core::toSeconds(elapsed);
+    if (seconds > replica.smoothedLatencySeconds) {
+        smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
+        replica.answeredAt = now;
+    }
+}
+
 void recordCancelled(service_state &service, std::size_t index, Core::time_point)
 {
     endRequest(service, index);
--- a/Libraries/LibBackend/ReplicaEvents.h
+++ b/Libraries/LibBackend/ReplicaEvents.h
@@ -30,6 +30,10 @@
 /// Records a request that ended without an answer. A silence is the connection's fault, and the replica is not avoided.
 void recordFailure(service_state &service, std::size_t replica, const failed_attempt &failed, Core::time_point now);
 
+/// Records that another replica answered first, `elapsed` after this one was asked. Without it a replica whose slow
+/// answers are always overtaken would look fast.
+void recordOvertaken(service_state &service, std::size_t replica, Core::duration elapsed, Core::time_point now);
+
 /// Records a request that this daemon cancelled because another replica answered first.
 void recordCancelled(service_state &service, std::size_t replica, Core::time_point now);
 } // namespace Backend
--- a/Libraries/LibBackend/ReplicaState.h
+++ b/Libraries/LibBackend/ReplicaState.h
@@ -36,6 +36,10 @@
     Core::time_point warmerSince; ///< Since when this daemon has had place 0 without a break.
     std::string warmer; ///< The daemon with place 0; empty: unknown.
 
+    /// Hedges that the replica may take; its first attempts earn them. Without this bound, hedges of every query can
+    /// gather at one slow shard and double its load within the service's budget.
+    double hedgeTokens = 1.0;
+
     std::uint32_t consecutiveSilences = 0;
     std::optional<Core::time_point> silentAt; ///< The last silence of a connection to the replica.
 };
--- a/Libraries/LibQuery/Attempts.cpp
+++ b/Libraries/LibQuery/Attempts.cpp
@@ -89,11 +89,24 @@
     return std::min(now + Backend::silenceBound(service, target.replica), query.plan.deadline);
 }
 
-bool sendAttempt(query_state &query, Backend::service_state &service, std::size_t shardIndex, query_effects &effects,
-                 Core::time_point now, Core::random_engine &random)
+/// Settles the replica's own part of the budget; false if it may take no hedge now.
+static bool chargeReplica(Backend::service_state &service, std::size_t index, attempt_kind kind)
+{
+    Backend::replica_state &replica = service.replicas[index];
+    if (kind == attempt_kind::Hedge) {
+        return Backend::takeHedgeToken(replica);
+    }
+    if (kind == attempt_kind::First) {
+        Backend::earnHedgeToken(replica, service.cancellations.honouredPart);
+    }
+    return true;
+}
+
+bool sendAttempt(query_state &query, Backend::service_state &service, std::size_t shardIndex, attempt_kind kind,
+                 query_effects &effects, Core::time_point now, Core::random_engine &random)
 {
     std::optional<shard_target> target = chooseTarget(query, service, shardIndex, now, random);
-    if (!target) {
+    if (!target || (target->peer.empty() && !chargeReplica(service, target->replica, kind))) {
         return false;
     }
     shard_state &shard = query.shards[shardIndex];
@@ -168,6 +181,9 @@
         if (isFirstAttempt(attempt.id)) {
             Backend::recordLatency(service.firstLatencies, now - attempt.sentAt);
         }
+        if (attempt.target.peer.empty()) {
+            Backend::recordOvertaken(service, attempt.target.replica, now - attempt.sentAt, now);
+        }
         effects.cancels.push_back({attempt.id, std::move(attempt.target), now});
     }
     query.shards[shardIndex].running.clear();
--- a/Libraries/LibQuery/Attempts.h
+++ b/Libraries/LibQuery/Attempts.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Time.h"
+#include "LibQuery/AttemptKind.h"
 #include "LibQuery/AttemptState.h"
 #include "LibQuery/QueryEffects.h"
 
@@ -28,7 +29,8 @@
 
 /// Sends one attempt for a shard, to a replica or to a branch. False if nobody may take it now.
 [[nodiscard]] bool sendAttempt(query_state &query, Backend::service_state &service, std::size_t shard,
-                               query_effects &effects, Core::time_point now, Core::random_engine &random);
+                               attempt_kind kind, query_effects &effects, Core::time_point now,
+                               Core::random_engine &random);
 
 /// Returns the index of the shard that an attempt belongs to.
 [[nodiscard]] std::size_t shardOfAttempt(std::uint64_t attempt);
--- a/Libraries/LibQuery/Hedging.cpp
+++ b/Libraries/LibQuery/Hedging.cpp
@@ -55,7 +55,7 @@
     if (!Backend::takeToken(service.extraLoad)) {
         return false;
     }
-    if (!sendAttempt(query, service, shard, effects, now, random)) {
+    if (!sendAttempt(query, service, shard, attempt_kind::Hedge, effects, now, random)) {
         Backend::returnToken(service.extraLoad);
         return false;
     }
--- a/Libraries/LibQuery/QueryEvents.cpp
+++ b/Libraries/LibQuery/QueryEvents.cpp
@@ -67,7 +67,7 @@
     }
     effects.sends.reserve(query.shards.size());
     for (std::size_t index = 0; index < query.shards.size(); ++index) {
-        if (!sendAttempt(query, service, index, effects, now, random)) {
+        if (!sendAttempt(query, service, index, attempt_kind::First, effects, now, random)) {
             waitOrGiveUp(query, service, index, effects, now);
         }
     }
--- a/Libraries/LibQuery/Retries.cpp
+++ b/Libraries/LibQuery/Retries.cpp
@@ -98,11 +98,12 @@
                       query_effects &effects, Core::time_point now, Core::random_engine &random)
 {
     const shard_state &shard = query.shards[shardIndex];
+    const attempt_kind kind = shard.attemptsSent == 0 ? attempt_kind::First : attempt_kind::Retry;
     const bool paid = shard.attemptsSent > 0 && needsToken(shard.lastFailure);
     if (paid && !Backend::takeToken(service.extraLoad)) {
         return false;
     }
-    if (!sendAttempt(query, service, shardIndex, effects, now, random)) {
+    if (!sendAttempt(query, service, shardIndex, kind, effects, now, random)) {
         if (paid) {
             Backend::returnToken(service.extraLoad);
         }
