LibMembership: Decide who lives, who owns what and which entries callers get

Cause: each daemon acted as if it were alone. Change: a member table merged by joins from records, digests and the lagging list; rounds of gossip with digests of eight bytes a member; ownership by rendezvous over data centres; entries near the caller.

--- /dev/null
+++ b/Libraries/LibMembership/ChooseEntries.cpp
@@ -0,0 +1,53 @@
+#include "LibMembership/ChooseEntries.h"
+
+#include "LibMembership/Distance.h"
+#include "LibMembership/MemberTable.h"
+#include "LibMembership/Membership.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Membership
+{
+/// Far entries are there for the case that no near one answers; few callers should take them otherwise.
+static constexpr std::array<double, 3> weightByDistance {1.0, 0.02, 0.01};
+static constexpr std::array<std::size_t, 3> mostByDistance {12, 4, 4};
+
+static bool mayEnter(const member_record &record, const Configuration::configuration_document &document)
+{
+    return !record.leaving && !record.callerAddress.empty() && !isOut(document, record.dataCentre);
+}
+
+std::vector<entry> chooseEntries(const member_table &table, const membership_settings &settings,
+                                 const Configuration::configuration_document &document, const std::string &dataCentre,
+                                 Core::time_point now, Core::random_engine &random)
+{
+    std::array<std::vector<const member_record *>, 3> byDistance;
+    const auto add = [&](const member_record &record) {
+        if (mayEnter(record, document)) {
+            const distance far = distanceBetween(document, dataCentre, record.dataCentre);
+            byDistance[static_cast<std::size_t>(far)].push_back(&record);
+        }
+    };
+    if (!isIsolated(table, settings, now)) {
+        add(table.self);
+    }
+    for (const auto &[name, member] : table.members) {
+        if (statusOf(table, member, settings, now) == member_status::Live) {
+            add(member.record);
+        }
+    }
+    std::vector<entry> entries;
+    for (std::size_t far = 0; far < byDistance.size(); ++far) {
+        std::vector<const member_record *> &records = byDistance[far];
+        std::shuffle(records.begin(), records.end(), random);
+        records.resize(std::min(records.size(), mostByDistance[far]));
+        // The nearest that there are take the load of callers that have none nearer.
+        const double weight = entries.empty() ? 1.0 : weightByDistance[far];
+        for (const member_record *record : records) {
+            entries.push_back({record->name, record->incarnation, record->callerAddress, record->dataCentre, weight});
+        }
+    }
+    return entries;
+}
+} // namespace Membership
--- /dev/null
+++ b/Libraries/LibMembership/ComputeOwnership.cpp
@@ -0,0 +1,154 @@
+#include "LibMembership/ComputeOwnership.h"
+
+#include "LibBackend/ConnectionsPerOwner.h"
+#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibMembership/Distance.h"
+#include "LibMembership/Fleet.h"
+#include "LibMembership/OwnerCount.h"
+#include "LibMembership/OwnersOfGroup.h"
+#include "LibMembership/RendezvousWeight.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Membership
+{
+namespace
+{
+/// What the steps of one computation share.
+struct computation {
+    const fleet &members;
+    const Configuration::configuration_document &document;
+    const Configuration::service_settings &service;
+    const fleet_member *self = nullptr;
+    candidates_by_data_centre candidates;
+    std::size_t candidateCount = 0;
+};
+} // namespace
+
+static void collectCandidates(computation &state)
+{
+    std::vector<const fleet_member *> excluded;
+    for (const fleet_member &member : state.members.members) {
+        if (member.name == state.members.self) {
+            state.self = &member;
+        }
+        const bool mayOwn = !member.leaving && !isOut(state.document, member.dataCentre);
+        if (!mayOwn) {
+            excluded.push_back(&member);
+            continue;
+        }
+        std::vector<const fleet_member *> &found = state.candidates[member.dataCentre];
+        if (member.live) {
+            found.push_back(&member);
+            ++state.candidateCount;
+        }
+    }
+    if (state.candidateCount > 0) {
+        return;
+    }
+    // Where all that live are to own nothing, the last ones go on rather than leave the replicas to nobody.
+    for (const fleet_member *member : excluded) {
+        if (member->live) {
+            state.candidates[member->dataCentre].push_back(member);
+            ++state.candidateCount;
+        }
+    }
+}
+
+/// The group of a fleet in which every member owns every replica.
+static group_owners everyone(const computation &state)
+{
+    group_owners group;
+    for (const auto &[dataCentre, members] : state.candidates) {
+        group.owners.insert(group.owners.end(), members.begin(), members.end());
+        group.quotas[dataCentre] = 1;
+    }
+    return group;
+}
+
+/// The peers that a root asks, near ones first.
+static std::vector<std::string> orderPeers(const computation &state, std::uint64_t groupHash,
+                                           const std::vector<const fleet_member *> &owners)
+{
+    std::vector<std::tuple<distance, std::uint64_t, std::string>> ranked;
+    for (const fleet_member *owner : owners) {
+        if (owner != state.self) {
+            ranked.emplace_back(distanceBetween(state.document, state.self->dataCentre, owner->dataCentre),
+                                rendezvousWeight(groupHash ^ state.self->hash, owner->hash), owner->name);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> names;
+    names.reserve(ranked.size());
+    for (auto &[far, weight, name] : ranked) {
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+/// Ranks the owners that may warm a replica: those of its own data centre. Where the data centre gives no owners, since
+/// there are fewer owners than data centres or no daemon was ever known there, all owners may.
+static void rankWarmers(const computation &state, const group_owners &group, const std::string &replica,
+                        const std::string &dataCentre, Backend::ownership_view &view)
+{
+    const auto quota = group.quotas.find(dataCentre);
+    const bool anyDataCentre = quota == group.quotas.end() || quota->second == 0;
+    const std::uint64_t replicaHash = hashName(replica);
+    std::vector<std::pair<std::uint64_t, const fleet_member *>> ranked;
+    for (const fleet_member *owner : group.owners) {
+        if (anyDataCentre || owner->dataCentre == dataCentre) {
+            ranked.emplace_back(rendezvousWeight(replicaHash, owner->hash), owner);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : left.second->name < right.second->name;
+    });
+    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+        if (ranked[rank].second == state.self) {
+            view.warmerRanks[replica] = static_cast<std::uint32_t>(rank);
+        }
+    }
+    if (!ranked.empty()) {
+        view.warmers[replica] = ranked.front().second->name;
+    }
+}
+
+Backend::ownership_view computeOwnership(const fleet &members, const Configuration::configuration_document &document,
+                                         const std::string &service)
+{
+    computation state {members, document, document.services.at(service), nullptr, {}, 0};
+    collectCandidates(state);
+    const std::size_t count =
+        ownerCount(document.tier.ownersPerReplica, state.service.connectionLimit, state.candidateCount);
+    Backend::ownership_view view;
+    view.connectionsPerReplica =
+        Backend::connectionsPerOwner(state.service.connectionLimit, static_cast<std::uint32_t>(count));
+    std::map<std::string, std::vector<const std::string *>> replicasByShard;
+    for (const auto &[name, replica] : state.service.replicas) {
+        replicasByShard[replica.shard].push_back(&name);
+    }
+    const bool everyoneOwns = count >= state.candidateCount && document.tier.ownersPerReplica == 0;
+    const std::size_t groupSize = std::max<std::uint32_t>(document.tier.shardsPerGroup, 1);
+    group_owners group;
+    std::uint64_t groupHash = 0;
+    std::size_t index = 0;
+    for (const auto &[shard, replicas] : replicasByShard) {
+        if (index % groupSize == 0) {
+            groupHash = hashName(service + "/" + std::to_string(index / groupSize));
+            group = everyoneOwns ? everyone(state) : ownersOfGroup(groupHash, state.candidates, count);
+        }
+        ++index;
+        for (const std::string *replica : replicas) {
+            rankWarmers(state, group, *replica, state.service.replicas.at(*replica).dataCentre, view);
+        }
+        if (!everyoneOwns) {
+            const bool own = std::find(group.owners.begin(), group.owners.end(), state.self) != group.owners.end();
+            view.byShard[shard] = {own, orderPeers(state, groupHash, group.owners)};
+        }
+    }
+    return view;
+}
+} // namespace Membership
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,194 @@
+#include "LibMembership/Membership.h"
+
+#include "LibMembership/MemberTable.h"
+#include "LibMembership/MembershipSettings.h"
+#include "LibMembership/RendezvousWeight.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Membership
+{
+std::uint32_t recordId(const std::string &name, std::uint64_t incarnation)
+{
+    return static_cast<std::uint32_t>(rendezvousWeight(incarnation, hashName(name)));
+}
+
+member_table makeTable(member_record self, std::vector<std::string> seedAddresses, Core::time_point now)
+{
+    member_table table;
+    table.self = std::move(self);
+    table.seedAddresses = std::move(seedAddresses);
+    table.peerHeardAt = now;
+    table.storeHeardAt = now;
+    return table;
+}
+
+static bool joinRecord(member_state &member, const member_record &record, Core::time_point now)
+{
+    bool changed = false;
+    if (record.heartbeat > member.record.heartbeat) {
+        member.record.heartbeat = record.heartbeat;
+        member.advancedAt = now;
+        changed = true;
+    }
+    if (record.configurationNumber > member.record.configurationNumber) {
+        member.record.configurationNumber = record.configurationNumber;
+        changed = true;
+    }
+    if (record.leaving && !member.record.leaving) {
+        member.record.leaving = true;
+        changed = true;
+    }
+    return changed;
+}
+
+bool mergeRecord(member_table &table, const member_record &record, const membership_settings &settings,
+                 Core::time_point now)
+{
+    if (record.name.empty()) {
+        return false;
+    }
+    if (record.name == table.self.name) {
+        table.superseded = table.superseded || record.incarnation > table.self.incarnation;
+        return false;
+    }
+    const auto found = table.members.find(record.name);
+    if (found != table.members.end() && record.incarnation < found->second.record.incarnation) {
+        return false;
+    }
+    if (found != table.members.end() && record.incarnation == found->second.record.incarnation) {
+        return joinRecord(found->second, record, now);
+    }
+    if (found != table.members.end()) {
+        table.namesById.erase(recordId(record.name, found->second.record.incarnation));
+    }
+    table.members[record.name] = {record, now, settings.recordSends};
+    table.namesById[recordId(record.name, record.incarnation)] = record.name;
+    return true;
+}
+
+void applyList(member_table &table, const std::vector<listed_vm> &list, Core::time_point now)
+{
+    table.storeHeardAt = now;
+    table.listed.clear();
+    for (const listed_vm &vm : list) {
+        if (vm.name != table.self.name) {
+            table.listed[vm.name] = vm;
+        }
+    }
+}
+
+void leave(member_table &table)
+{
+    table.self.leaving = true;
+    ++table.self.heartbeat;
+}
+
+void setConfigurationNumber(member_table &table, std::uint64_t number)
+{
+    if (number > table.self.configurationNumber) {
+        table.self.configurationNumber = number;
+        ++table.self.heartbeat;
+    }
+}
+
+static void eraseMember(member_table &table, const std::string &name)
+{
+    const auto found = table.members.find(name);
+    table.namesById.erase(recordId(name, found->second.record.incarnation));
+    table.members.erase(found);
+}
+
+void forgetMembers(member_table &table, const membership_settings &settings, Core::time_point now)
+{
+    std::vector<std::pair<Core::time_point, std::string>> dead;
+    for (const auto &[name, member] : table.members) {
+        if (statusOf(table, member, settings, now) == member_status::Dead) {
+            dead.emplace_back(member.advancedAt, name);
+        }
+    }
+    std::sort(dead.begin(), dead.end());
+    for (const auto &[advancedAt, name] : dead) {
+        const bool tooMany = table.members.size() > settings.mostMembers;
+        if (!tooMany && now - advancedAt < settings.forgetAfter) {
+            return;
+        }
+        eraseMember(table, name);
+    }
+}
+
+Core::duration gossipPeriod(const member_table &table, const membership_settings &settings)
+{
+    const Core::duration wanted = settings.periodPerMember * static_cast<std::int64_t>(table.members.size() + 1);
+    return std::clamp<Core::duration>(wanted, settings.shortestPeriod, settings.longestPeriod);
+}
+
+Core::duration roundInterval(const member_table &table, const membership_settings &settings)
+{
+    const bool isNew = table.round < static_cast<std::uint64_t>(settings.quickRounds);
+    return isNew ? settings.shortestPeriod : gossipPeriod(table, settings);
+}
+
+member_status statusOf(const member_table &table, const member_state &member, const membership_settings &settings,
+                       Core::time_point now)
+{
+    const Core::duration period = gossipPeriod(table, settings);
+    const Core::duration silence = now - member.advancedAt;
+    if (silence > period * settings.deadPeriods) {
+        return member_status::Dead;
+    }
+    return silence > period * settings.suspectPeriods ? member_status::Suspected : member_status::Live;
+}
+
+std::vector<const member_record *> liveMembers(const member_table &table, const membership_settings &settings,
+                                               Core::time_point now)
+{
+    std::vector<const member_record *> live;
+    live.reserve(table.members.size() + 1);
+    bool selfAdded = false;
+    for (const auto &[name, member] : table.members) {
+        if (!selfAdded && table.self.name < name) {
+            live.push_back(&table.self);
+            selfAdded = true;
+        }
+        if (statusOf(table, member, settings, now) != member_status::Dead) {
+            live.push_back(&member.record);
+        }
+    }
+    if (!selfAdded) {
+        live.push_back(&table.self);
+    }
+    return live;
+}
+
+std::size_t watchRank(const member_table &table, const membership_settings &settings, Core::time_point now)
+{
+    const std::uint64_t key = hashName("configuration watch");
+    const std::uint64_t own = rendezvousWeight(key, hashName(table.self.name));
+    std::size_t rank = 0;
+    for (const member_record *member : liveMembers(table, settings, now)) {
+        if (member != &table.self && !member->leaving && rendezvousWeight(key, hashName(member->name)) > own) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+bool isIsolated(const member_table &table, const membership_settings &settings, Core::time_point now)
+{
+    // A fleet of one has no peer to hear.
+    if (table.members.empty() && table.listed.empty() && table.seedAddresses.empty()) {
+        return false;
+    }
+    return now - std::max(table.peerHeardAt, table.storeHeardAt) > settings.isolatedAfter;
+}
+
+Core::duration listReadInterval(const member_table &table)
+{
+    constexpr std::chrono::milliseconds intervalPerMember {500};
+    constexpr std::chrono::milliseconds shortestInterval {3000};
+    const Core::duration wanted = intervalPerMember * static_cast<std::int64_t>(table.members.size() + 1);
+    return std::max<Core::duration>(wanted, shortestInterval);
+}
+} // namespace Membership
--- /dev/null
+++ b/Libraries/LibMembership/OwnerCount.cpp
@@ -0,0 +1,28 @@
+#include "LibMembership/OwnerCount.h"
+
+#include "LibBackend/ConnectionsPerOwner.h"
+
+#include <algorithm>
+
+namespace Membership
+{
+/// With fewer, a loss takes a large part of a replica's connections; with more, each branch covers fewer replicas.
+static constexpr std::uint32_t preferredOwners = 16;
+static constexpr std::uint32_t leastConnections = 2;
+
+std::size_t ownerCount(std::uint32_t configured, std::uint32_t connectionLimit, std::size_t members)
+{
+    if (configured > 0) {
+        return std::min<std::size_t>(configured, members);
+    }
+    const auto all = static_cast<std::uint32_t>(members);
+    if (Backend::connectionsPerOwner(connectionLimit, all) >= leastConnections) {
+        return members;
+    }
+    std::uint32_t owners = preferredOwners;
+    while (owners > 1 && Backend::connectionsPerOwner(connectionLimit, owners) < leastConnections) {
+        --owners;
+    }
+    return std::min<std::size_t>(owners, members);
+}
+} // namespace Membership
--- /dev/null
+++ b/Libraries/LibMembership/OwnerCount.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Membership
+{
+/// How many daemons connect to one replica. `configured` 0 means all of them if the replica's connection limit gives
+/// each at least two connections, else as many as keep a useful number of connections each. Never more than `members`.
+[[nodiscard]] std::size_t ownerCount(std::uint32_t configured, std::uint32_t connectionLimit, std::size_t members);
+} // namespace Membership
--- a/Libraries/LibWire/GossipCodec.cpp
+++ b/Libraries/LibWire/GossipCodec.cpp
@@ -49,6 +49,7 @@
 {
     builder.setSender(textOf(message.sender));
     builder.setConfigurationNumber(message.configurationNumber);
+    builder.setNewestNumber(message.newestNumber);
     encodeDigest(message.digest, builder.initDigest(listSize(message.digest)));
     auto records = builder.initRecords(listSize(message.records));
     for (unsigned index = 0; index < records.size(); ++index) {
@@ -70,6 +71,7 @@
     Membership::gossip_message message;
     message.sender = stringOf(reader.getSender());
     message.configurationNumber = reader.getConfigurationNumber();
+    message.newestNumber = reader.getNewestNumber();
     for (const auto entry : reader.getDigest()) {
         message.digest.push_back({entry.getId(), entry.getHeartbeat(), entry.getLag(), entry.getLeaving()});
     }
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -26,7 +26,7 @@
   # The part of a member's record that changes often, in one word.
   id @0 :UInt32;                  # Hash of the VM's name and incarnation.
   heartbeat @1 :UInt16;           # Low bits of the heartbeat, compared as serial numbers.
-  lag @2 :UInt8;                  # Numbers behind the message's configurationNumber, at most 255.
+  lag @2 :UInt8;                  # Numbers behind the message's newestNumber; 255: that many or more.
   leaving @3 :Bool;
 }
 
@@ -37,6 +37,7 @@
   records @3 :List(MemberRecord);
   wanted @4 :List(UInt32);        # Identifiers whose records the sender lacks.
   blobs @5 :List(KeyedBlob);
+  newestNumber @6 :UInt64;        # The highest number of any member; lags count down from it.
 }
 
 struct BranchRequest {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -103,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -775,6 +775,8 @@
   inline bool hasBlobs() const;
   inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader getBlobs() const;
 
+  inline  ::uint64_t getNewestNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -842,6 +844,9 @@
   inline void adoptBlobs(::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>> disownBlobs();
 
+  inline  ::uint64_t getNewestNumber();
+  inline void setNewestNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3114,6 +3119,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t GossipMessage::Reader::getNewestNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getNewestNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setNewestNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BranchRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
