ragwortcrankd: Gossip, hand configurations on, own replicas, choose entries, drain

Cause: daemons knew of no other, offered only themselves to callers and cut requests when stopped. Change: the membership loop joins the platform's list with the exchange between peers, fetches a newer configuration from a peer as a merge patch, hands each new ownership to the services, and serves /v1/entries. SIGTERM leaves the list first, serves on past the entries' time to live, waits until nothing runs and exits 0; 4 if the limit or a second signal cut something. /readyz also waits until a fresh daemon may warm replicas.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -85,6 +85,13 @@
     ++table.self.heartbeat;
 }
 
+void skipTime(member_table &table, Core::duration gap)
+{
+    for (auto &[name, member] : table.members) {
+        member.advancedAt += gap;
+    }
+}
+
 void setConfigurationNumber(member_table &table, std::uint64_t number)
 {
     if (number > table.self.configurationNumber) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -33,6 +33,10 @@
 /// Marks this daemon as leaving; it says so in every later message.
 void leave(member_table &table);
 
+/// Moves every time in the table forward by `gap`, after this process did not run for that long: it knows nothing about
+/// that time, so nobody died in it.
+void skipTime(member_table &table, Core::duration gap);
+
 /// Records the configuration number that this daemon has in force.
 void setConfigurationNumber(member_table &table, std::uint64_t number);
 
--- a/Meta/commands/run.sh
+++ b/Meta/commands/run.sh
@@ -33,6 +33,15 @@
 start_process "$logs/store.log" Build/Tests/StandIns/standin_store --port="$store_port"
 start_process "$logs/backend.log" Build/Tests/StandIns/standin_backend --config="$config"
 mapfile -t data_centres < <(jq -r '.data_centres | keys[]' "$config")
+wait_for_url "http://127.0.0.1:$store_port/counters" 10
+vms=$(for ((index = 0; index < daemons; index++)); do
+    jq -n --arg name "vm-$index" --arg caller "127.0.0.1:$((caller_port + index))" \
+        --arg peer "127.0.0.1:$((peer_port + index))" \
+        --arg data_centre "${data_centres[index % ${#data_centres[@]}]}" \
+        '{name: $name, caller_address: $caller, peer_address: $peer, data_centre: $data_centre, leaving: false}'
+done | jq --slurp --compact-output .)
+curl --silent --fail --output /dev/null --request PUT --header 'Content-Type: application/json' --data "$vms" \
+    "http://127.0.0.1:$store_port/objects/vms"
 for ((index = 0; index < daemons; index++)); do
     start_process "$logs/vm-$index.log" Build/Services/ragwortcrankd/ragwortcrankd \
         --vm_name="vm-$index" --data_centre="${data_centres[index % ${#data_centres[@]}]}" \
@@ -44,7 +53,7 @@
 done
 Build/Utilities/ragwortcrankctl/ragwortcrankctl --daemon="127.0.0.1:$caller_port" config patch --base=0 "$config" >&2
 for ((index = 0; index < daemons; index++)); do
-    wait_for_url "http://127.0.0.1:$((caller_port + index))/readyz" 10
+    wait_for_url "http://127.0.0.1:$((caller_port + index))/readyz" 20
 done
 status=0
 Build/Tests/StandIns/standin_caller --daemon="127.0.0.1:$caller_port" --queries="$queries" \
--- a/Meta/include/processes.sh
+++ b/Meta/include/processes.sh
@@ -10,12 +10,16 @@
     started_processes+=("$!")
 }
 
-# Ends every started process by its id and waits for it.
+# Ends every started process by its id and waits for it. The second signal ends a daemon's drain.
 end_processes() {
     local id
     for id in "${started_processes[@]}"; do
         kill -TERM "$id" 2>/dev/null || true
     done
+    sleep 0.3
+    for id in "${started_processes[@]}"; do
+        kill -TERM "$id" 2>/dev/null || true
+    done
     for id in "${started_processes[@]}"; do
         wait "$id" 2>/dev/null || true
     done
--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -12,15 +12,9 @@
 #include "QueryTask.h"
 #include "QueryWorker.h"
 
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <random>
 #include <utility>
 
-namespace json = boost::json;
-
 caller_api::caller_api(daemon_state &daemon, std::vector<std::unique_ptr<query_worker>> &workers, std::uint64_t seed)
     : m_daemon(daemon)
     , m_workers(workers)
@@ -34,21 +28,6 @@
     return m_daemon.daemonSettings.virtualMachine + "." + std::to_string(m_random());
 }
 
-void caller_api::handleEntries(const Platform::http_request &, Platform::http_responder responder)
-{
-    const settings &own = m_daemon.daemonSettings;
-    json::array entries;
-    entries.push_back(json::object {{"address", own.listenAddress + ":" + std::to_string(own.callerPort)},
-                                    {"vm", own.virtualMachine},
-                                    {"data_centre", own.dataCentre},
-                                    {"weight", 1.0}});
-    const auto timeToLive = m_daemon.configuration.current()->tier.entryTimeToLive;
-    Platform::http_response response;
-    response.body =
-        json::serialize(json::object {{"entries", std::move(entries)}, {"time_to_live_ms", timeToLive.count()}});
-    responder.respond(response);
-}
-
 void caller_api::handleQuery(const Platform::http_request &request, Platform::http_responder responder)
 {
     Core::result<Query::query_request> decoded = decodeCallerRequest(request);
--- a/Services/ragwortcrankd/CallerApi.h
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -23,13 +23,12 @@
 struct daemon_state;
 class query_worker;
 
-/// Serves callers: the list of entry addresses, and queries.
+/// Serves callers' queries.
 class caller_api
 {
 public:
     caller_api(daemon_state &daemon, std::vector<std::unique_ptr<query_worker>> &workers, std::uint64_t seed);
 
-    void handleEntries(const Platform::http_request &request, Platform::http_responder responder);
     void handleQuery(const Platform::http_request &request, Platform::http_responder responder);
 
 private:
--- a/Services/ragwortcrankd/DaemonState.h
+++ b/Services/ragwortcrankd/DaemonState.h
@@ -2,15 +2,33 @@
 
 #include "ActiveConfiguration.h"
 #include "ControlHooks.h"
+#include "DrainControl.h"
+#include "GossipExchange.h"
+#include "LibWire/PeerHandlers.h"
 #include "ServiceShards.h"
 #include "Settings.h"
 
+#include <cstdint>
 #include <string>
 
+namespace Wire
+{
+class peer_network;
+}
+
+class membership_loop;
+
 /// What the daemon's threads share. Each member guards itself.
 struct daemon_state {
     settings daemonSettings; ///< Not changed after the start.
+    std::uint64_t incarnation = 0; ///< Start time in nanoseconds of civil time; not changed after the start.
     active_configuration configuration;
     service_shards services;
     control_hooks hooks; ///< Set before the threads start.
+    gossip_exchange gossip;
+    drain_control drain;
+    /// Branches and resolving of requests; set before the peer network starts.
+    Wire::peer_handlers peerHandlers;
+    membership_loop *membership = nullptr; ///< Set before the threads start; lives as long as they.
+    Wire::peer_network *peers = nullptr; ///< Set before callers are served; lives as long as they are.
 };
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -2,19 +2,24 @@
 #include "CallerApi.h"
 #include "ConfigurationWatcher.h"
 #include "DaemonState.h"
-#include "LibConfiguration/ConfigurationDocument.h"
+#include "EntriesApi.h"
 #include "LibObservability/Log.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibPlatform/HttpServer.h"
 #include "LibPlatform/HttpServerOptions.h"
+#include "LibWire/PeerNetwork.h"
+#include "LibWire/PeerNetworkOptions.h"
+#include "MembershipLoop.h"
 #include "OperatorApi.h"
 #include "PatchWriter.h"
+#include "PeerHandlersOf.h"
 #include "QueryWorker.h"
 #include "ReadSettings.h"
+#include "Readiness.h"
+#include "StopSequence.h"
 
 #include <curl/curl.h>
 
-#include <csignal>
 #include <iostream>
 #include <random>
 #include <utility>
@@ -23,18 +28,9 @@
 
 static constexpr int exitSettingsInvalid = 2;
 static constexpr int exitListenFailed = 3;
+static constexpr int exitRequestsCut = 4;
 
-static void handleReadiness(const daemon_state &daemon, Platform::http_responder responder)
-{
-    const bool ready = daemon.configuration.current()->number > 0;
-    Platform::http_response response;
-    response.status = ready ? 200 : 503;
-    response.contentType = "text/plain";
-    response.body = ready ? "ready\n" : "no configuration is in force\n";
-    responder.respond(response);
-}
-
-static void dispatch(const daemon_state &daemon, caller_api &callers, operator_api &operators,
+static void dispatch(daemon_state &daemon, caller_api &callers, operator_api &operators,
                      const Platform::http_request &request, Platform::http_responder responder)
 {
     if (request.path == "/healthz") {
@@ -45,7 +41,7 @@
     } else if (request.path == "/readyz") {
         handleReadiness(daemon, std::move(responder));
     } else if (request.path == "/v1/entries" && request.method == "GET") {
-        callers.handleEntries(request, std::move(responder));
+        handleEntries(daemon, request, std::move(responder));
     } else if (request.path.starts_with("/v1/query/") && request.method == "POST") {
         callers.handleQuery(request, std::move(responder));
     } else if (request.path.starts_with("/v1/operator/")) {
@@ -55,30 +51,35 @@
     }
 }
 
-static void waitForStop()
+static void setHooks(daemon_state &daemon, membership_loop &membership)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    int received = 0;
-    sigwait(&signals, &received);
+    daemon.membership = &membership;
+    daemon.hooks.numbersInForce = [&membership] {
+        return membership.numbersInForce();
+    };
+    daemon.hooks.watchRank = [&membership] {
+        return membership.watchRank();
+    };
 }
 
-/// Blocks the stop signals before any thread starts, so that only waitForStop() takes them.
-static void blockSignals()
+static Core::result<std::unique_ptr<Wire::peer_network>> startPeers(daemon_state &daemon, membership_loop &membership)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    Wire::peer_network_options options;
+    options.listenAddress = daemon.daemonSettings.listenAddress;
+    options.port = daemon.daemonSettings.peerPort;
+    auto network = Wire::peer_network::start(options, peerHandlersOf(daemon, membership));
+    if (network) {
+        daemon.peers = network.value().get();
+        membership.start(*network.value());
+    }
+    return network;
 }
 
 static int serve(daemon_state &daemon)
 {
     std::random_device seedSource;
+    membership_loop membership(daemon, seedSource());
+    setHooks(daemon, membership);
     std::vector<std::unique_ptr<query_worker>> workers;
     workers.reserve(static_cast<std::size_t>(daemon.daemonSettings.queryThreads));
     for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
@@ -88,27 +89,34 @@
     configuration_watcher watcher(daemon, seedSource());
     caller_api callers(daemon, workers, seedSource());
     operator_api operators(daemon, writer);
+    const auto network = startPeers(daemon, membership);
+    if (!network) {
+        Observability::logEvent(log_level::Error, "listen_failed", {{"message", network.error().message}});
+        return exitListenFailed;
+    }
     Platform::http_server_options options;
     options.address = daemon.daemonSettings.listenAddress;
     options.port = daemon.daemonSettings.callerPort;
     options.threads = daemon.daemonSettings.httpThreads;
     const auto server = Platform::http_server::start(
         options, [&](const Platform::http_request &request, Platform::http_responder responder) {
-            dispatch(daemon, callers, operators, request, std::move(responder));
+            dispatch(daemon, callers, operators, request, daemon.drain.count(std::move(responder)));
         });
     if (!server) {
         Observability::logEvent(log_level::Error, "listen_failed", {{"message", server.error().message}});
         return exitListenFailed;
     }
     Observability::logEvent(log_level::Info, "started", {{"caller_port", options.port}});
-    waitForStop();
+    waitForStopSignal();
     Observability::logEvent(log_level::Info, "stopping");
+    const bool nothingCut = drain(daemon, membership);
+    membership.stop();
     for (const std::unique_ptr<query_worker> &worker : workers) {
         worker->stop();
     }
     server.value()->stop();
     Observability::logEvent(log_level::Info, "stopped");
-    return 0;
+    return nothingCut ? 0 : exitRequestsCut;
 }
 
 int main(int argc, char **argv)
@@ -122,7 +130,8 @@
         }
         return exitSettingsInvalid;
     }
-    blockSignals();
+    blockStopSignals();
+    daemon.incarnation = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
     curl_global_init(CURL_GLOBAL_DEFAULT);
     Observability::initializeLog(daemon.daemonSettings.virtualMachine, daemon.daemonSettings.logLevel);
     return serve(daemon);
--- /dev/null
+++ b/Services/ragwortcrankd/PeerHandlersOf.cpp
@@ -0,0 +1,23 @@
+#include "PeerHandlersOf.h"
+
+#include "DaemonState.h"
+#include "MembershipLoop.h"
+
+#include <utility>
+
+Wire::peer_handlers peerHandlersOf(daemon_state &daemon, membership_loop &membership)
+{
+    Wire::peer_handlers handlers = daemon.peerHandlers;
+    handlers.onGossip = [&membership](const Membership::gossip_message &message) {
+        return membership.onGossip(message);
+    };
+    handlers.onReadConfiguration = [&membership](std::uint64_t aboveNumber) {
+        return membership.onReadConfiguration(aboveNumber);
+    };
+    if (daemon.peerHandlers.onBranch) {
+        handlers.onBranch = [&daemon](Wire::branch_request request, Wire::branch_stream stream) {
+            daemon.peerHandlers.onBranch(std::move(request), daemon.drain.count(std::move(stream)));
+        };
+    }
+    return handlers;
+}
--- a/Services/ragwortcrankd/ReadSettings.cpp
+++ b/Services/ragwortcrankd/ReadSettings.cpp
@@ -12,6 +12,7 @@
 #include <cctype>
 #include <cstdlib>
 #include <limits>
+#include <sstream>
 #include <string_view>
 
 DEFINE_string(vm_name, "", "name of this VM in the platform's list");
@@ -20,14 +21,17 @@
 DEFINE_int32(caller_port, 8080, "TCP port for callers and operators, 1 to 65535");
 DEFINE_int32(peer_port, 8081, "TCP port for other daemons, 1 to 65535");
 DEFINE_string(store_url, "", "base URL of the platform's store, as in http://127.0.0.1:9000");
+DEFINE_string(peers, "",
+              "addresses of other daemons, as in 10.0.0.1:8081,10.0.0.2:8081, for a store down at the start");
+DEFINE_int32(drain_limit, 60, "seconds that a planned stop may take before it cuts what runs, 0 to 3600");
 DEFINE_int32(http_threads, 2, "threads that serve callers, 1 to 64");
 DEFINE_int32(query_threads, 2, "threads that run queries, 1 to 64");
 DEFINE_int32(operator_key_fd, -1, "file descriptor to read the operator key from; -1: RAGWORTCRANK_OPERATOR_KEY");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
-static constexpr std::array settingNames {"vm_name",   "data_centre",    "listen_address", "caller_port",
-                                          "peer_port", "store_url",      "http_threads",   "query_threads",
-                                          "log_level", "operator_key_fd"};
+static constexpr std::array settingNames {"vm_name",   "data_centre", "listen_address", "caller_port",
+                                          "peer_port", "store_url",   "http_threads",   "query_threads",
+                                          "peers",     "drain_limit", "log_level",      "operator_key_fd"};
 static constexpr std::int32_t mostThreads = 64;
 
 using findings_list = std::vector<Core::finding>;
@@ -88,6 +92,27 @@
     }
 }
 
+/// Splits the list of peers; each must be an IP address and a port.
+static void readPeers(settings &target, findings_list &findings)
+{
+    std::stringstream list(FLAGS_peers);
+    std::string peer;
+    while (std::getline(list, peer, ',')) {
+        const std::size_t colon = peer.rfind(':');
+        const std::string host = peer.substr(0, colon);
+        const std::string port = colon == std::string::npos ? "" : peer.substr(colon + 1);
+        boost::system::error_code error;
+        boost::asio::ip::make_address(host, error);
+        const bool isNumber = !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), ::isdigit);
+        if (error || !isNumber || std::stoi(port) == 0 || std::stoi(port) > std::numeric_limits<std::uint16_t>::max()) {
+            findings.push_back(
+                {"--peers", "value \"" + peer + "\" must be an IP address and a port, as in 10.0.0.1:8081"});
+            continue;
+        }
+        target.peers.push_back(peer);
+    }
+}
+
 static void readLogLevel(settings &target, findings_list &findings)
 {
     using Observability::log_level;
@@ -155,6 +180,9 @@
     checkRange("peer_port", FLAGS_peer_port, 1, std::numeric_limits<std::uint16_t>::max(), findings);
     checkRange("http_threads", FLAGS_http_threads, 1, mostThreads, findings);
     checkRange("query_threads", FLAGS_query_threads, 1, mostThreads, findings);
+    constexpr std::int32_t longestDrainLimit = 3600;
+    checkRange("drain_limit", FLAGS_drain_limit, 0, longestDrainLimit, findings);
+    readPeers(target, findings);
     readLogLevel(target, findings);
     readOperatorKey(target, findings);
     target.virtualMachine = FLAGS_vm_name;
@@ -163,6 +191,7 @@
     target.callerPort = static_cast<std::uint16_t>(FLAGS_caller_port);
     target.peerPort = static_cast<std::uint16_t>(FLAGS_peer_port);
     target.storeUrl = FLAGS_store_url;
+    target.drainLimit = std::chrono::seconds(FLAGS_drain_limit);
     target.httpThreads = FLAGS_http_threads;
     target.queryThreads = FLAGS_query_threads;
 }
--- a/Services/ragwortcrankd/Settings.h
+++ b/Services/ragwortcrankd/Settings.h
@@ -2,8 +2,10 @@
 
 #include "LibObservability/LogLevel.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// The settings of one daemon, checked.
 struct settings {
@@ -14,6 +16,8 @@
     std::uint16_t peerPort = 0;
     std::string storeUrl;
     std::string operatorKey; ///< From the environment or a file descriptor; never logged.
+    std::vector<std::string> peers; ///< Peer addresses to start from while the store is down.
+    std::chrono::seconds drainLimit {60}; ///< How long a planned stop may take.
     int httpThreads = 2;
     int queryThreads = 2;
     Observability::log_level logLevel = Observability::log_level::Info;
--- /dev/null
+++ b/Services/ragwortcrankd/StopSequence.cpp
@@ -0,0 +1,66 @@
+#include "StopSequence.h"
+
+#include "DaemonState.h"
+#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibObservability/Log.h"
+#include "MembershipLoop.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+
+/// How long the news that this daemon leaves needs to reach every daemon that answers /v1/entries.
+static constexpr std::chrono::seconds newsSpread {2};
+static constexpr std::chrono::milliseconds quietTime {300};
+static constexpr std::chrono::milliseconds signalCheck {50};
+
+static sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void blockStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStopSignal()
+{
+    const sigset_t signals = stopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+/// Waits for `longest`; returns whether a stop signal came.
+static bool signalWithin(std::chrono::nanoseconds longest)
+{
+    const sigset_t signals = stopSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(longest);
+    timespec wait {seconds.count(), (longest - seconds).count()};
+    return sigtimedwait(&signals, nullptr, &wait) > 0;
+}
+
+bool drain(daemon_state &daemon, membership_loop &membership)
+{
+    membership.leave();
+    const Core::time_point started = std::chrono::steady_clock::now();
+    const Core::time_point limit = started + daemon.daemonSettings.drainLimit;
+    const Core::duration timeToLive = daemon.configuration.current()->tier.entryTimeToLive;
+    const Core::time_point unknownToCallers = started + timeToLive + newsSpread;
+    while (std::chrono::steady_clock::now() < limit) {
+        if (std::chrono::steady_clock::now() >= unknownToCallers && daemon.drain.isQuiet(quietTime)) {
+            return true;
+        }
+        if (signalWithin(signalCheck)) {
+            Observability::logEvent(Observability::log_level::Info, "drain_interrupted");
+            break;
+        }
+    }
+    return daemon.drain.running() == 0;
+}
--- /dev/null
+++ b/Services/ragwortcrankd/VmListReader.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibPlatform/StoreClient.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+/// Reads the platform's list of VMs now and then, on a thread of its own, since the store may be slow.
+class vm_list_reader
+{
+public:
+    /// `onList` gets each copy of the list; `interval` says how long to wait for the next.
+    vm_list_reader(const std::string &storeUrl, std::function<void(const std::string &)> onList,
+                   std::function<Core::duration()> interval);
+    ~vm_list_reader();
+    vm_list_reader(const vm_list_reader &) = delete;
+    vm_list_reader &operator=(const vm_list_reader &) = delete;
+
+    void stop();
+
+private:
+    void run();
+
+    Platform::store_client m_store;
+    std::function<void(const std::string &)> m_onList;
+    std::function<Core::duration()> m_interval;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false; ///< Guarded by m_mutex.
+    std::thread m_thread;
+};
