--- a/Libraries/LibMembership/ComputeOwnership.cpp
+++ b/Libraries/LibMembership/ComputeOwnership.cpp
@@ -124,13 +124,14 @@
     const std::size_t count =
         ownerCount(document.tier.ownersPerReplica, state.service.connectionLimit, state.candidateCount);
     Backend::ownership_view view;
-    view.connectionsPerReplica =
-        Backend::connectionsPerOwner(state.service.connectionLimit, static_cast<std::uint32_t>(count));
     std::map<std::string, std::vector<const std::string *>> replicasByShard;
     for (const auto &[name, replica] : state.service.replicas) {
         replicasByShard[replica.shard].push_back(&name);
     }
     const bool everyoneOwns = count >= state.candidateCount && document.tier.ownersPerReplica == 0;
+    const std::size_t holders = everyoneOwns ? count + replacedOwners : count;
+    view.connectionsPerReplica =
+        Backend::connectionsPerOwner(state.service.connectionLimit, static_cast<std::uint32_t>(holders));
     const std::size_t groupSize = std::max<std::uint32_t>(document.tier.shardsPerGroup, 1);
     group_owners group;
     std::uint64_t groupHash = 0;
--- a/Libraries/LibMembership/OwnerCount.cpp
+++ b/Libraries/LibMembership/OwnerCount.cpp
@@ -16,7 +16,10 @@
         return std::min<std::size_t>(configured, members);
     }
     const auto all = static_cast<std::uint32_t>(members);
-    if (Backend::connectionsPerOwner(connectionLimit, all) >= leastConnections) {
+    // A small fleet owns everything even with single connections, so that no hop is added.
+    const bool isSmall =
+        all <= preferredOwners && Backend::connectionsPerOwner(connectionLimit, all + replacedOwners) > 0;
+    if (isSmall || Backend::connectionsPerOwner(connectionLimit, all) >= leastConnections) {
         return members;
     }
     std::uint32_t owners = preferredOwners;
--- /dev/null
+++ b/Tests/LibMembership/TestOwnership.cpp
@@ -0,0 +1,180 @@
+#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibMembership/ComputeOwnership.h"
+#include "LibMembership/Fleet.h"
+#include "LibMembership/OwnerCount.h"
+#include "LibMembership/RendezvousWeight.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using Membership::fleet;
+
+static constexpr int dataCentres = 4;
+static constexpr int shards = 64;
+
+static std::string dataCentreName(int index)
+{
+    return "dc" + std::to_string(index % dataCentres);
+}
+
+static fleet makeFleet(int members)
+{
+    fleet made;
+    for (int index = 0; index < members; ++index) {
+        const std::string name = "vm" + std::to_string(1000 + index);
+        made.members.push_back({name, Membership::hashName(name), dataCentreName(index), true, false});
+    }
+    return made;
+}
+
+static Configuration::configuration_document makeDocument(std::uint32_t owners, std::uint32_t connectionLimit)
+{
+    Configuration::configuration_document document;
+    document.tier.ownersPerReplica = owners;
+    document.tier.shardsPerGroup = 4;
+    for (int index = 0; index < dataCentres; ++index) {
+        document.dataCentres[dataCentreName(index)].region = index < dataCentres / 2 ? "north" : "south";
+    }
+    Configuration::service_settings &service = document.services["search"];
+    service.connectionLimit = connectionLimit;
+    for (int shard = 0; shard < shards; ++shard) {
+        for (int replica = 0; replica < 3; ++replica) {
+            const std::string name = "s" + std::to_string(shard) + "-r" + std::to_string(replica);
+            service.replicas[name] = {"s" + std::to_string(shard), "", dataCentreName(replica), "v1", false};
+        }
+    }
+    return document;
+}
+
+/// The members that say of themselves that they own a shard, and the connections that they hold to one replica of it.
+struct claims {
+    std::map<std::string, std::set<std::string>> ownersByShard;
+    std::map<std::string, std::uint32_t> connectionsByShard;
+    std::map<std::string, int> warmersByReplica;
+};
+
+static void addClaims(fleet view, const std::string &self, const Configuration::configuration_document &document,
+                      claims &result)
+{
+    view.self = self;
+    const Backend::ownership_view ownership = Membership::computeOwnership(view, document, "search");
+    for (int shard = 0; shard < shards; ++shard) {
+        const std::string name = "s" + std::to_string(shard);
+        const auto found = ownership.byShard.find(name);
+        if (found == ownership.byShard.end() || found->second.own) {
+            result.ownersByShard[name].insert(self);
+            result.connectionsByShard[name] += ownership.connectionsPerReplica;
+        }
+    }
+    for (const auto &[replica, rank] : ownership.warmerRanks) {
+        result.warmersByReplica[replica] += rank == 0 ? 1 : 0;
+    }
+}
+
+static claims collectClaims(const fleet &view, const Configuration::configuration_document &document)
+{
+    claims result;
+    for (const Membership::fleet_member &member : view.members) {
+        if (member.live) {
+            addClaims(view, member.name, document, result);
+        }
+    }
+    return result;
+}
+
+RC_GTEST_PROP(Ownership, MovesLittleWhenOneMemberComesOrGoes, ())
+{
+    const fleet before = makeFleet(*rc::gen::inRange(8, 60));
+    const auto document = makeDocument(*rc::gen::inRange<std::uint32_t>(1, 17), 110);
+    fleet after = before;
+    const auto lost = *rc::gen::inRange<std::size_t>(0, before.members.size());
+    after.members[lost].live = false;
+    const claims old = collectClaims(before, document);
+    const claims next = collectClaims(after, document);
+    for (const auto &[shard, owners] : old.ownersByShard) {
+        if (!owners.contains(before.members[lost].name)) {
+            RC_ASSERT(next.ownersByShard.at(shard) == owners);
+            continue;
+        }
+        std::set<std::string> kept = owners;
+        kept.erase(before.members[lost].name);
+        const std::set<std::string> &now = next.ownersByShard.at(shard);
+        RC_ASSERT(std::includes(now.begin(), now.end(), kept.begin(), kept.end()));
+        RC_ASSERT(now.size() <= owners.size());
+    }
+}
+
+RC_GTEST_PROP(Ownership, KeepsTheConnectionLimitForEveryMembership, ())
+{
+    const fleet all = makeFleet(*rc::gen::inRange(1, 150));
+    const auto limit = *rc::gen::inRange<std::uint32_t>(10, 120);
+    const auto document = makeDocument(0, limit);
+    const claims result = collectClaims(all, document);
+    for (int shard = 0; shard < shards; ++shard) {
+        const std::string name = "s" + std::to_string(shard);
+        RC_ASSERT(!result.ownersByShard.at(name).empty());
+        RC_ASSERT(result.connectionsByShard.at(name) <= limit);
+        RC_ASSERT(result.connectionsByShard.at(name) > 0);
+    }
+}
+
+RC_GTEST_PROP(Ownership, KeepsTheConnectionLimitWhileRegionsDisagree, ())
+{
+    const fleet whole = makeFleet(*rc::gen::inRange(100, 200));
+    const auto limit = *rc::gen::inRange<std::uint32_t>(20, 120);
+    const auto document = makeDocument(0, limit);
+    claims result;
+    for (const Membership::fleet_member &member : whole.members) {
+        fleet view = whole;
+        for (Membership::fleet_member &other : view.members) {
+            other.live =
+                document.dataCentres.at(other.dataCentre).region == document.dataCentres.at(member.dataCentre).region;
+        }
+        addClaims(view, member.name, document, result);
+    }
+    for (const auto &[shard, connections] : result.connectionsByShard) {
+        RC_ASSERT(connections <= limit);
+    }
+}
+
+RC_GTEST_PROP(Ownership, GivesEachReplicaAtMostOneWarmerWhileRegionsDisagree, ())
+{
+    const fleet whole = makeFleet(*rc::gen::inRange(9, 80));
+    const auto document = makeDocument(*rc::gen::inRange<std::uint32_t>(0, 17), 110);
+    const claims together = collectClaims(whole, document);
+    for (const auto &[replica, warmers] : together.warmersByReplica) {
+        RC_ASSERT(warmers == 1);
+    }
+    if (document.tier.ownersPerReplica < dataCentres) {
+        return; // A data centre without owners lets every owner warm, so a parting may give two.
+    }
+    claims parted;
+    for (const Membership::fleet_member &member : whole.members) {
+        fleet view = whole;
+        for (Membership::fleet_member &other : view.members) {
+            other.live =
+                document.dataCentres.at(other.dataCentre).region == document.dataCentres.at(member.dataCentre).region;
+        }
+        addClaims(view, member.name, document, parted);
+    }
+    for (const auto &[replica, warmers] : parted.warmersByReplica) {
+        RC_ASSERT(warmers <= 1);
+    }
+}
+
+TEST(Ownership, LetsNineDaemonsOwnEverythingAtTodaysLimits)
+{
+    for (const std::uint32_t limit : {25U, 30U, 40U, 110U}) {
+        fleet view = makeFleet(9);
+        view.self = view.members.front().name;
+        const auto ownership = Membership::computeOwnership(view, makeDocument(0, limit), "search");
+        EXPECT_TRUE(ownership.byShard.empty()) << limit;
+        EXPECT_GE(ownership.connectionsPerReplica, 2U) << limit;
+        EXPECT_LE(11 * ownership.connectionsPerReplica, limit) << "two replaced VMs may still hold theirs";
+    }
+    EXPECT_LE(Membership::ownerCount(0, 110, 590), 16U);
+}
