Benchmarks: Run an hour's outage of the store over the configuration's functions

Cause: nothing showed the promises of patches, adoption and watching together when the store is away.

--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -1,5 +1,6 @@
 #include "Policy/BenchRow.h"
 #include "Policy/Scenarios.h"
+#include "Policy/StoreOutage.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -25,6 +26,7 @@
 
 constexpr std::array scenarios {
     scenario {"stragglers", Bench::runStragglers},
+    scenario {"store-outage", Bench::runStoreOutage},
 };
 
 std::string seedsText(const Bench::bench_row &row)
