--- a/Benchmarks/Policy/OutageFleet.cpp
+++ b/Benchmarks/Policy/OutageFleet.cpp
@@ -173,8 +173,8 @@
     carryOut(transaction, first, sent, ++transactions, writer);
 }
 
-void outage_fleet::carryOut(std::shared_ptr<Configuration::patch_transaction> transaction,
-                            Configuration::patch_step step, std::shared_ptr<change> sent, std::uint64_t number,
+void outage_fleet::carryOut(const std::shared_ptr<Configuration::patch_transaction> &transaction,
+                            Configuration::patch_step step, const std::shared_ptr<change> &sent, std::uint64_t number,
                             std::size_t writer)
 {
     if (step.answer) {
--- a/Benchmarks/Policy/OutageFleet.h
+++ b/Benchmarks/Policy/OutageFleet.h
@@ -64,8 +64,8 @@
     void replaceOne();
     void submitChange();
     void sendChange(const std::shared_ptr<change> &sent);
-    void carryOut(std::shared_ptr<Configuration::patch_transaction> transaction, Configuration::patch_step step,
-                  std::shared_ptr<change> sent, std::uint64_t number, std::size_t writer);
+    void carryOut(const std::shared_ptr<Configuration::patch_transaction> &transaction, Configuration::patch_step step,
+                  const std::shared_ptr<change> &sent, std::uint64_t number, std::size_t writer);
     void onAnswer(const Configuration::patch_answer &answer, const std::shared_ptr<change> &sent, std::uint64_t number);
     std::size_t pickMachine();
     Core::duration pause();
