ragwortcrankd: Run queries through the daemons that own the replicas

Cause: with fewer owners a replica than daemons, a root could not reach the replicas of others. Change: the worker groups the attempts that go to one peer into one branch call, takes its streamed answers as ends of attempts, and cancels a branch when none of its shards is wanted; as a branch it asks only its own replicas and streams what one turn of its loop gathered in one message. A query whose pin vanished is planned anew once. Attempt ids are unique over daemons and restarts, so that a cancellation never meets another attempt. Conclusion: after the only owner of a shard is killed, queries stay incomplete for about 10 s: its failure has to be noticed, and the next owner waits out the hand-over before it warms replicas that it has never heard of.

--- a/Libraries/LibQuery/QueryEvents.cpp
+++ b/Libraries/LibQuery/QueryEvents.cpp
@@ -163,6 +163,15 @@
     return effects;
 }
 
+query_effects abandonQuery(query_state &query, Backend::service_state &service, Core::time_point now)
+{
+    query_effects effects;
+    if (!query.finished) {
+        finishQuery(query, service, effects, now, "cancelled by the root");
+    }
+    return effects;
+}
+
 void onCancelledEnd(Backend::service_state &service, const cancel_attempt &attempt, cancelled_end end,
                     Core::time_point now)
 {
--- a/Libraries/LibQuery/QueryEvents.h
+++ b/Libraries/LibQuery/QueryEvents.h
@@ -35,6 +35,9 @@
 [[nodiscard]] query_effects onTimer(query_state &query, Backend::service_state &service, Core::time_point now,
                                     Core::random_engine &random);
 
+/// Ends a query whose answer nobody waits for any more.
+[[nodiscard]] query_effects abandonQuery(query_state &query, Backend::service_state &service, Core::time_point now);
+
 /// Takes the end of a cancelled attempt's call, which until then counts as in flight. Needs no query, since most end
 /// after theirs.
 void onCancelledEnd(Backend::service_state &service, const cancel_attempt &attempt, cancelled_end end,
--- /dev/null
+++ b/Services/ragwortcrankd/AttemptEnd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "LibBackend/FailedAttempt.h"
+#include "LibQuery/ShardAnswer.h"
+
+#include <variant>
+
+/// How an attempt ended, wherever it went.
+using attempt_end = std::variant<Query::shard_answer, Backend::failed_attempt>;
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -1,4 +1,5 @@
 #include "AnswerCodec.h"
+#include "BranchApi.h"
 #include "CallerApi.h"
 #include "ConfigurationWatcher.h"
 #include "DaemonState.h"
@@ -85,6 +86,7 @@
     for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
         workers.push_back(std::make_unique<query_worker>(daemon, seedSource()));
     }
+    serveBranches(daemon, workers);
     patch_writer writer(daemon);
     configuration_watcher watcher(daemon, seedSource());
     caller_api callers(daemon, workers, seedSource());
--- /dev/null
+++ b/Services/ragwortcrankd/OpenBranch.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+/// A branch that another daemon runs for a query of this one.
+struct open_branch {
+    std::uint64_t query = 0;
+    std::uint64_t call = 0; ///< The peer network's number.
+    std::map<std::string, std::uint64_t> attempts; ///< Attempts that have not ended, by shard name.
+};
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -7,14 +7,15 @@
 #include "LibPlatform/HttpCall.h"
 #include "LibPlatform/ShardCall.h"
 #include "LibQuery/CancelledEnd.h"
+#include "LibQuery/PlanQuery.h"
 #include "LibQuery/QueryEvents.h"
-#include "LibQuery/ShardAnswer.h"
+#include "LibWire/BranchSummary.h"
 #include "RunningQuery.h"
 #include "ServiceShard.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
-#include <variant>
 
 static constexpr long connectionsPerReplica = 8;
 static constexpr std::chrono::milliseconds longestSleep {100};
@@ -22,6 +23,7 @@
 query_worker::query_worker(daemon_state &daemon, std::uint64_t seed)
     : m_daemon(daemon)
     , m_random(seed)
+    , m_attemptTag(std::to_string(m_random()))
     , m_client(connectionsPerReplica)
     , m_thread([this] { run(); })
 {
@@ -32,15 +34,22 @@
     stop();
 }
 
-void query_worker::submit(query_task task)
+void query_worker::post(std::function<void()> action)
 {
     {
-        const std::scoped_lock lock(m_inboxMutex);
-        m_inbox.push_back(std::move(task));
+        const std::scoped_lock lock(m_postedMutex);
+        m_posted.push_back(std::move(action));
     }
     m_client.wakeUp();
 }
 
+void query_worker::submit(query_task task)
+{
+    // std::function needs a copyable target, so the task is held by a shared pointer.
+    const auto shared = std::make_shared<query_task>(std::move(task));
+    post([this, shared] { startTask(std::move(*shared)); });
+}
+
 void query_worker::stop()
 {
     m_stopping = true;
@@ -53,40 +62,69 @@
 void query_worker::run()
 {
     while (!m_stopping || !m_queries.empty()) {
-        takeTasks();
+        runPosted();
         fireTimers();
+        flushStreams();
         Core::duration wait = longestSleep;
         if (!m_timers.empty()) {
             wait = std::min<Core::duration>(wait, m_timers.top().at - std::chrono::steady_clock::now());
         }
         m_client.run(std::max(wait, Core::duration::zero()));
     }
+    flushStreams();
 }
 
-void query_worker::takeTasks()
+void query_worker::runPosted()
 {
-    std::vector<query_task> tasks;
+    std::vector<std::function<void()>> posted;
     {
-        const std::scoped_lock lock(m_inboxMutex);
-        tasks.swap(m_inbox);
+        const std::scoped_lock lock(m_postedMutex);
+        posted.swap(m_posted);
+    }
+    for (const std::function<void()> &action : posted) {
+        action();
     }
-    for (query_task &task : tasks) {
-        startTask(std::move(task));
+}
+
+static void refuse(query_task &task)
+{
+    if (task.branch) {
+        Wire::branch_answers answers;
+        for (const Query::planned_shard &shard : task.plan.shards) {
+            answers.failures.push_back({shard.name, Backend::attempt_failure::NotRun});
+        }
+        task.branch->send(std::move(answers));
+        task.branch->end({});
+        return;
     }
+    Query::query_result result;
+    result.requestId = task.plan.requestId;
+    result.shardsTotal = static_cast<std::uint32_t>(task.plan.shards.size());
+    result.reason = "service \"" + task.plan.service + "\" is not in force here yet";
+    task.done(std::move(result));
 }
 
 void query_worker::startTask(query_task task)
 {
+    service_shard *service = m_daemon.services.find(task.plan.service);
+    if (service == nullptr) {
+        refuse(task);
+        return;
+    }
     auto running = std::make_unique<running_query>();
-    running->service = m_daemon.services.find(task.plan.service);
+    const std::uint64_t number = m_nextQuery++;
+    running->service = service;
     running->state.plan = task.plan;
+    running->attemptPrefix = task.plan.requestId + "." + m_attemptTag + "." + std::to_string(number) + ".";
     running->task = std::move(task);
-    const std::uint64_t number = m_nextQuery++;
     running_query &query = *running;
     m_queries[number] = std::move(running);
-    std::unique_lock lock(query.service->mutex);
+    if (query.task.branch) {
+        query.task.branch->onCancel([this, number] { post([this, number] { abandon(number); }); });
+    }
+    std::unique_lock lock(service->mutex);
     Query::query_effects effects =
-        Query::startQuery(query.state, query.service->state, std::chrono::steady_clock::now(), m_random);
+        Query::startQuery(query.state, service->state, std::chrono::steady_clock::now(), m_random);
     lock.unlock();
     carryOut(number, std::move(effects));
 }
@@ -112,26 +150,58 @@
 void query_worker::carryOut(std::uint64_t query, Query::query_effects effects)
 {
     running_query &running = *m_queries.at(query);
-    for (const Query::send_attempt &attempt : effects.sends) {
-        send(query, running, attempt);
-    }
+    sendAll(query, running, effects.sends);
     for (const Query::cancel_attempt &attempt : effects.cancels) {
         cancel(query, running, attempt);
     }
-    if (effects.finished) {
-        const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
-        m_queries.erase(query);
-        ended->task.done(std::move(*effects.finished));
-        return;
+    if (!effects.cancels.empty()) {
+        dropUnwantedBranches(running);
     }
-    if (effects.wakeAt) {
+    streamLosses(query, running, effects);
+    if (effects.restart) {
+        restart(query);
+    } else if (effects.finished) {
+        finish(query, std::move(*effects.finished));
+    } else if (effects.wakeAt) {
         m_timers.push({*effects.wakeAt, query, ++running.timerGeneration});
     }
 }
 
-static std::string attemptName(const running_query &running, std::uint64_t attempt)
+/// Plans the query anew with the newest snapshot; its request id and deadline stay.
+void query_worker::restart(std::uint64_t query)
 {
-    return running.state.plan.requestId + "." + std::to_string(attempt);
+    const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
+    m_queries.erase(query);
+    query_task task = std::move(ended->task);
+    const Query::query_plan &old = ended->state.plan;
+    auto plan = Query::planQuery(*m_daemon.configuration.current(), task.request, old.version,
+                                 std::chrono::steady_clock::now());
+    if (!plan) {
+        Query::query_result result;
+        result.requestId = old.requestId;
+        result.result = Query::outcome::Unknown;
+        result.reason = "the snapshot vanished, and the query could not be planned anew: " + plan.error().message;
+        task.done(std::move(result));
+        return;
+    }
+    task.plan = std::move(plan.value());
+    task.plan.deadline = old.deadline;
+    task.plan.restarted = true;
+    startTask(std::move(task));
+}
+
+void query_worker::finish(std::uint64_t query, Query::query_result result)
+{
+    const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
+    m_queries.erase(query);
+    if (ended->task.branch) {
+        ended->task.branch->send(std::move(ended->unsent));
+        Wire::branch_summary summary;
+        summary.shardRequests = result.shardRequests;
+        ended->task.branch->end(summary);
+        return;
+    }
+    ended->task.done(std::move(result));
 }
 
 static Platform::shard_call makeCall(const running_query &running, const Query::send_attempt &attempt,
@@ -142,7 +212,7 @@
     call.shard = running.state.plan.shards[attempt.shard].name;
     call.route = running.state.plan.route;
     call.requestId = running.state.plan.requestId;
-    call.attemptId = attemptName(running, attempt.attempt);
+    call.attemptId = running.attemptPrefix + std::to_string(attempt.attempt);
     call.snapshot = running.state.plan.snapshot;
     call.text = running.task.request.text;
     call.traceParent = running.task.request.traceParent;
@@ -151,17 +221,53 @@
     return call;
 }
 
-void query_worker::send(std::uint64_t query, running_query &running, const Query::send_attempt &attempt)
+namespace
 {
+/// What the service state says of a replica that is about to be asked.
+struct replica_place {
     std::string address;
     std::optional<Core::duration> oldestConnection;
-    {
-        const std::scoped_lock lock(running.service->mutex);
-        const Backend::replica_state &replica = running.service->state.replicas[attempt.target.replica];
-        address = replica.settings.address;
-        oldestConnection = Backend::oldestUsableConnection(replica, std::chrono::steady_clock::now());
+};
+} // namespace
+
+/// Looks all places up under one lock. A place without an address stands for a branch.
+static std::vector<replica_place> findPlaces(service_shard &service, const std::vector<Query::send_attempt> &sends)
+{
+    const Core::time_point now = std::chrono::steady_clock::now();
+    std::vector<replica_place> places(sends.size());
+    const std::scoped_lock lock(service.mutex);
+    for (std::size_t index = 0; index < sends.size(); ++index) {
+        if (sends[index].target.peer.empty()) {
+            const Backend::replica_state &replica = service.state.replicas[sends[index].target.replica];
+            places[index] = {replica.settings.address, Backend::oldestUsableConnection(replica, now)};
+        }
     }
-    running.addresses[attempt.attempt] = address;
+    return places;
+}
+
+void query_worker::sendAll(std::uint64_t query, running_query &running, const std::vector<Query::send_attempt> &sends)
+{
+    if (sends.empty()) {
+        return;
+    }
+    std::vector<replica_place> places = findPlaces(*running.service, sends);
+    std::map<std::string, std::vector<const Query::send_attempt *>> byPeer;
+    for (std::size_t index = 0; index < sends.size(); ++index) {
+        if (sends[index].target.peer.empty()) {
+            sendToReplica(query, running, sends[index], std::move(places[index].address),
+                          places[index].oldestConnection);
+        } else {
+            byPeer[sends[index].target.peer].push_back(&sends[index]);
+        }
+    }
+    for (const auto &[peer, attempts] : byPeer) {
+        startBranch(query, running, peer, attempts);
+    }
+}
+
+void query_worker::sendToReplica(std::uint64_t query, running_query &running, const Query::send_attempt &attempt,
+                                 std::string address, std::optional<Core::duration> oldestConnection)
+{
     Platform::http_call call = Platform::encodeShardCall(makeCall(running, attempt, std::move(address)));
     call.timeout = std::min<Core::duration>(attempt.timeRemaining, attempt.silentAt - std::chrono::steady_clock::now());
     call.oldestConnection = oldestConnection;
@@ -169,43 +275,52 @@
         call.reuse = Platform::connection_reuse::Forbidden;
     }
     const std::uint64_t number = attempt.attempt;
-    running.calls[number] =
-        m_client.start(std::move(call), [this, query, number](const Platform::call_outcome &outcome) {
-            finishAttempt(query, number, outcome);
-        });
+    m_client.start(std::move(call), [this, query, number](const Platform::call_outcome &outcome) {
+        endAttempt(query, number, Platform::decodeShardAnswer(outcome));
+    });
 }
 
 /// Asks the replica to stop. The call itself goes on, so that its connection can be kept when the end arrives.
 void query_worker::cancel(std::uint64_t query, running_query &running, const Query::cancel_attempt &attempt)
 {
-    Platform::shard_call call;
-    call.address = running.addresses.at(attempt.attempt);
-    call.attemptId = attemptName(running, attempt.attempt);
     m_cancelled[{query, attempt.attempt}] = {running.service, attempt};
+    if (!attempt.target.peer.empty()) {
+        return; // A branch is dropped when none of its shards is wanted any more.
+    }
+    Platform::shard_call call;
+    {
+        const std::scoped_lock lock(running.service->mutex);
+        call.address = running.service->state.replicas[attempt.target.replica].settings.address;
+    }
+    call.attemptId = running.attemptPrefix + std::to_string(attempt.attempt);
     m_client.start(Platform::encodeCancelCall(call), [](const Platform::call_outcome &) {});
 }
 
-using decoded_answer = std::variant<Query::shard_answer, Backend::failed_attempt>;
-
-static Query::cancelled_end endOf(const decoded_answer &decoded)
+static Query::cancelled_end kindOf(const attempt_end &end)
 {
-    if (std::holds_alternative<Query::shard_answer>(decoded)) {
+    if (std::holds_alternative<Query::shard_answer>(end)) {
         return Query::cancelled_end::Answered;
     }
-    const bool stopped = std::get<Backend::failed_attempt>(decoded).failure == Backend::attempt_failure::Cancelled;
+    const bool stopped = std::get<Backend::failed_attempt>(end).failure == Backend::attempt_failure::Cancelled;
     return stopped ? Query::cancelled_end::Stopped : Query::cancelled_end::Failed;
 }
 
-void query_worker::finishAttempt(std::uint64_t query, std::uint64_t attempt, const Platform::call_outcome &outcome)
+bool query_worker::endCancelled(attempt_key key, const attempt_end &end)
 {
-    decoded_answer decoded = Platform::decodeShardAnswer(outcome);
-    const Core::time_point now = std::chrono::steady_clock::now();
-    const auto cancelled = m_cancelled.find({query, attempt});
-    if (cancelled != m_cancelled.end()) {
-        const cancelled_call ended = cancelled->second;
-        m_cancelled.erase(cancelled);
-        const std::scoped_lock lock(ended.service->mutex);
-        Query::onCancelledEnd(ended.service->state, ended.attempt, endOf(decoded), now);
+    const auto found = m_cancelled.find(key);
+    if (found == m_cancelled.end()) {
+        return false;
+    }
+    const cancelled_call ended = std::move(found->second);
+    m_cancelled.erase(found);
+    const std::scoped_lock lock(ended.service->mutex);
+    Query::onCancelledEnd(ended.service->state, ended.attempt, kindOf(end), std::chrono::steady_clock::now());
+    return true;
+}
+
+void query_worker::endAttempt(std::uint64_t query, std::uint64_t attempt, attempt_end end)
+{
+    if (endCancelled({query, attempt}, end)) {
         return;
     }
     const auto found = m_queries.find(query);
@@ -213,13 +328,26 @@
         return;
     }
     running_query &running = *found->second;
-    running.calls.erase(attempt);
+    const Core::time_point now = std::chrono::steady_clock::now();
+    if (const auto *failed = std::get_if<Backend::failed_attempt>(&end)) {
+        std::unique_lock lock(running.service->mutex);
+        Query::query_effects effects =
+            Query::onFailure(running.state, running.service->state, attempt, *failed, now, m_random);
+        lock.unlock();
+        carryOut(query, std::move(effects));
+        return;
+    }
+    auto &answer = std::get<Query::shard_answer>(end);
+    Query::shard_answer forRoot;
+    if (running.task.branch) {
+        forRoot = answer;
+    }
     std::unique_lock lock(running.service->mutex);
-    Backend::service_state &service = running.service->state;
-    Query::query_effects effects = std::holds_alternative<Query::shard_answer>(decoded)
-        ? Query::onAnswer(running.state, service, attempt, std::get<Query::shard_answer>(std::move(decoded)), now,
-                          m_random)
-        : Query::onFailure(running.state, service, attempt, std::get<Backend::failed_attempt>(decoded), now, m_random);
+    Query::query_effects effects =
+        Query::onAnswer(running.state, running.service->state, attempt, std::move(answer), now, m_random);
     lock.unlock();
+    if (!effects.answeredShards.empty()) {
+        streamAnswer(query, running, effects.answeredShards.front(), std::move(forRoot)); // One answer, one shard.
+    }
     carryOut(query, std::move(effects));
 }
--- a/Services/ragwortcrankd/QueryWorker.h
+++ b/Services/ragwortcrankd/QueryWorker.h
@@ -1,17 +1,22 @@
 #pragma once
 
+#include "AttemptEnd.h"
 #include "CancelledCall.h"
 #include "LibCore/RandomEngine.h"
+#include "LibCore/Result.h"
 #include "LibPlatform/HttpClient.h"
+#include "OpenBranch.h"
 #include "QueryTask.h"
 #include "QueryTimer.h"
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <queue>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -23,10 +28,18 @@
 struct send_attempt;
 } // namespace Query
 
+namespace Wire
+{
+struct branch_answers;
+struct branch_request;
+struct branch_summary;
+} // namespace Wire
+
 struct daemon_state;
 struct running_query;
 
-/// Carries out queries on one thread: turns answers and timers into query events, and effects into HTTP calls.
+/// Carries out queries on one thread: turns answers and timers into query events, and effects into HTTP calls to
+/// replicas and branch calls to other daemons.
 class query_worker
 {
 public:
@@ -41,21 +54,49 @@
     void stop();
 
 private:
+    using attempt_key = std::pair<std::uint64_t, std::uint64_t>; ///< Query and attempt.
+
     void run();
-    void takeTasks();
+    /// Runs an action on the worker's thread; from any thread.
+    void post(std::function<void()> action);
+    void runPosted();
     void startTask(query_task task);
     void fireTimers();
     void carryOut(std::uint64_t query, Query::query_effects effects);
-    void send(std::uint64_t query, running_query &running, const Query::send_attempt &attempt);
+    void restart(std::uint64_t query);
+    void finish(std::uint64_t query, Query::query_result result);
+
+    void sendAll(std::uint64_t query, running_query &running, const std::vector<Query::send_attempt> &sends);
+    void sendToReplica(std::uint64_t query, running_query &running, const Query::send_attempt &attempt,
+                       std::string address, std::optional<Core::duration> oldestConnection);
     void cancel(std::uint64_t query, running_query &running, const Query::cancel_attempt &attempt);
-    void finishAttempt(std::uint64_t query, std::uint64_t attempt, const Platform::call_outcome &outcome);
+    void endAttempt(std::uint64_t query, std::uint64_t attempt, attempt_end end);
+    [[nodiscard]] bool endCancelled(attempt_key key, const attempt_end &end);
+
+    // The root's side of branches.
+    void startBranch(std::uint64_t query, running_query &running, const std::string &peer,
+                     const std::vector<const Query::send_attempt *> &sends);
+    void takeBranchAnswers(std::uint64_t branch, Wire::branch_answers answers);
+    void endBranch(std::uint64_t branch, const Core::result<Wire::branch_summary> &end);
+    void dropUnwantedBranches(running_query &running);
+    void forgetBranch(std::uint64_t branch);
+
+    // The branch's side.
+    void abandon(std::uint64_t query);
+    void streamAnswer(std::uint64_t query, running_query &running, std::size_t shard, Query::shard_answer answer);
+    void streamLosses(std::uint64_t query, running_query &running, const Query::query_effects &effects);
+    void flushStreams();
 
     daemon_state &m_daemon;
     Core::random_engine m_random;
+    const std::string m_attemptTag; ///< Tells this worker's attempts from those of all others.
     Platform::http_client m_client;
     std::map<std::uint64_t, std::unique_ptr<running_query>> m_queries;
-    std::map<std::pair<std::uint64_t, std::uint64_t>, cancelled_call> m_cancelled; ///< By query and attempt.
+    std::map<attempt_key, cancelled_call> m_cancelled;
+    std::map<std::uint64_t, open_branch> m_branches;
+    std::vector<std::uint64_t> m_unsentStreams; ///< Branches that have something to tell their roots.
     std::uint64_t m_nextQuery = 1;
+    std::uint64_t m_nextBranch = 1;
     struct later {
         bool operator()(const query_timer &left, const query_timer &right) const
         {
@@ -63,8 +104,8 @@
         }
     };
     std::priority_queue<query_timer, std::vector<query_timer>, later> m_timers;
-    std::mutex m_inboxMutex;
-    std::vector<query_task> m_inbox; ///< Guarded by m_inboxMutex.
+    std::mutex m_postedMutex;
+    std::vector<std::function<void()>> m_posted; ///< Guarded by m_postedMutex.
     std::atomic<bool> m_stopping {false};
     std::thread m_thread;
 };
--- a/Services/ragwortcrankd/RunningQuery.h
+++ b/Services/ragwortcrankd/RunningQuery.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "LibQuery/QueryState.h"
+#include "LibWire/BranchAnswers.h"
 #include "QueryTask.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
+#include <vector>
 
 struct service_shard;
 
@@ -14,7 +15,8 @@
     query_task task;
     Query::query_state state;
     service_shard *service = nullptr;
-    std::map<std::uint64_t, std::uint64_t> calls; ///< HTTP call numbers by attempt.
-    std::map<std::uint64_t, std::string> addresses; ///< Replica addresses by attempt, for cancellation.
+    std::string attemptPrefix; ///< Makes attempt ids unique over all daemons, queries and restarts.
+    std::vector<std::uint64_t> branches; ///< The worker's numbers of the branches that run for this query.
+    Wire::branch_answers unsent; ///< For a branch: what the root has not yet been told.
     std::uint64_t timerGeneration = 0; ///< Timers of older generations are ignored.
 };
