LibConfiguration: Keep an ended rollout's number when the rollout is removed

Cause: LibRollout closes a good rollout by removing it, which validation refused; allowing it alone would forget the number, so that a verdict on an old rollout could meet a new one with the same number. Patch ids made from service names need more characters than were allowed. Change: an ended rollout may be removed or replaced and is kept as last_rollout; a running one may not; the next number must be higher. Reports read both. Patch id tokens have up to 200 letters, digits, dots, hyphens and underscores. Conclusion: done and taken_back exclude one another for removed rollouts too.

--- a/Libraries/LibConfiguration/ApplyPatch.cpp
+++ b/Libraries/LibConfiguration/ApplyPatch.cpp
@@ -68,6 +68,16 @@
     return document.number - static_cast<std::uint64_t>(found - ids.rbegin());
 }
 
+/// Notes the number at a new rollout, and keeps the one before it.
+static void markRollout(const service_settings &before, service_settings &service, std::uint64_t number)
+{
+    const bool same = before.rollout && service.rollout && before.rollout->number == service.rollout->number;
+    service.lastRollout = same || !before.rollout ? before.lastRollout : before.rollout;
+    if (service.rollout) {
+        service.rollout->change = same ? before.rollout->change : number;
+    }
+}
+
 /// Notes the number at the rollouts and data centres that it changed, so that a report can name what it began.
 static void markChanges(const configuration_document &current, configuration_document &next)
 {
@@ -79,13 +89,8 @@
         dataCentre.change = dataCentre.out == wasOut ? unchanged : next.number;
     }
     for (auto &[name, service] : next.services) {
-        if (!service.rollout) {
-            continue;
-        }
         const auto before = current.services.find(name);
-        const bool same = before != current.services.end() && before->second.rollout
-            && before->second.rollout->number == service.rollout->number;
-        service.rollout->change = same ? before->second.rollout->change : next.number;
+        markRollout(before == current.services.end() ? service_settings() : before->second, service, next.number);
     }
 }
 
@@ -154,8 +159,8 @@
     if (!firstNumber || *firstNumber > request.baseNumber) {
         return invalid("",
                        "patch id \"" + request.patchId
-                           + "\" must be the number it was first made against, a hyphen, and 1 to 64 letters a to z, "
-                             "digits and hyphens");
+                           + "\" must be the number it was first made against, a hyphen, and 1 to 200 letters, digits, "
+                             "dots, hyphens and underscores");
     }
     if (const std::optional<std::uint64_t> made = numberMadeBy(current.document, request.patchId)) {
         outcome.verdict = patch_verdict::AlreadyApplied;
--- a/Libraries/LibConfiguration/ChangeReport.cpp
+++ b/Libraries/LibConfiguration/ChangeReport.cpp
@@ -23,22 +23,24 @@
     return "not_known";
 }
 
-static change_state rolloutState(const service_settings &service, change_state spread)
+/// `version` is the service's version; empty for a rollout that was removed, which only an ended one can be.
+static change_state rolloutState(const rollout_settings &rollout, const std::string &version, change_state spread)
 {
-    if (service.rollout->takenBack) {
+    if (rollout.takenBack) {
         return change_state::TakenBack;
     }
-    if (service.version == service.rollout->toVersion && spread == change_state::InForce) {
-        return change_state::Done;
-    }
-    return spread;
+    const bool finished = version.empty() || version == rollout.toVersion;
+    return finished && spread == change_state::InForce ? change_state::Done : spread;
 }
 
 static void collectSubjects(change_report &report, const configuration_document &document)
 {
     for (const auto &[name, service] : document.services) {
         if (service.rollout && service.rollout->change == report.number) {
-            report.rollouts[name] = rolloutState(service, report.state);
+            report.rollouts[name] = rolloutState(*service.rollout, service.version, report.state);
+        }
+        if (service.lastRollout && service.lastRollout->change == report.number) {
+            report.rollouts[name] = rolloutState(*service.lastRollout, "", report.state);
         }
     }
     for (const auto &[name, dataCentre] : document.dataCentres) {
--- a/Libraries/LibConfiguration/Parse.cpp
+++ b/Libraries/LibConfiguration/Parse.cpp
@@ -102,6 +102,8 @@
     });
     reader.readString("version", service.version);
     reader.readChild("rollout", [&](json_reader &rollout) { readRollout(rollout, service.rollout.emplace()); });
+    reader.readChild("last_rollout",
+                     [&](json_reader &rollout) { readRollout(rollout, service.lastRollout.emplace()); });
     reader.readCount("slots_per_replica", service.slotsPerReplica, 1, mostConnections);
     reader.readCount("connection_limit", service.connectionLimit, 1, mostConnections);
     reader.readCount("cold_slots", service.coldSlots, 1, mostConnections);
--- a/Libraries/LibConfiguration/PatchId.cpp
+++ b/Libraries/LibConfiguration/PatchId.cpp
@@ -5,11 +5,12 @@
 
 namespace Configuration
 {
-static constexpr std::size_t mostTokenCharacters = 64;
+static constexpr std::size_t mostTokenCharacters = 200;
 
 static bool isTokenCharacter(char character)
 {
-    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+        || (character >= '0' && character <= '9') || character == '-' || character == '.' || character == '_';
 }
 
 std::optional<std::uint64_t> firstNumberOf(std::string_view patchId)
--- a/Libraries/LibConfiguration/Serialize.cpp
+++ b/Libraries/LibConfiguration/Serialize.cpp
@@ -102,6 +102,9 @@
     if (service.rollout) {
         object["rollout"] = writeRollout(*service.rollout);
     }
+    if (service.lastRollout) {
+        object["last_rollout"] = writeRollout(*service.lastRollout);
+    }
     return object;
 }
 
--- a/Libraries/LibConfiguration/ServiceSettings.h
+++ b/Libraries/LibConfiguration/ServiceSettings.h
@@ -20,6 +20,7 @@
     std::map<std::string, replica_settings> replicas; ///< By replica name, unique within the service.
     std::string version; ///< The version that takes traffic outside a rollout.
     std::optional<rollout_settings> rollout;
+    std::optional<rollout_settings> lastRollout; ///< The one before, kept by the system when it is removed or replaced.
     std::uint32_t slotsPerReplica = 2; ///< Requests that a replica runs at once.
     std::uint32_t connectionLimit = 25; ///< Connections that a replica accepts from all daemons together.
     std::uint32_t coldSlots = 1; ///< Requests that a replica in cold start bears at once, over all daemons.
--- a/Libraries/LibConfiguration/Validate.cpp
+++ b/Libraries/LibConfiguration/Validate.cpp
@@ -121,18 +121,24 @@
     validateAddresses(document, findings);
 }
 
+/// A rollout may only be removed or replaced once it has ended. So the one that is kept as the last has ended.
+static void validateEndedRollout(const rollout_settings &current, const service_settings &next, const std::string &path,
+                                 findings_list &findings)
+{
+    if (!current.takenBack && next.version != current.toVersion) {
+        findings.push_back({path, "must stay until it is taken back or the service's version is its to_version"});
+    }
+}
+
 static void validateNextRollout(const rollout_settings &current, const service_settings &next, const std::string &path,
                                 findings_list &findings)
 {
-    if (!next.rollout) {
-        findings.push_back({path, "must stay until a rollout with a higher number replaces it"});
-        return;
-    }
     const rollout_settings &rollout = *next.rollout;
     if (rollout.number < current.number) {
         findings.push_back({path + "/number", "must not be lower than " + std::to_string(current.number)});
     }
     if (rollout.number != current.number) {
+        validateEndedRollout(current, next, path, findings);
         return;
     }
     if (rollout.fromVersion != current.fromVersion || rollout.toVersion != current.toVersion) {
@@ -143,13 +149,27 @@
     }
 }
 
+static void validateNextService(const service_settings &current, const service_settings &next, const std::string &path,
+                                findings_list &findings)
+{
+    if (current.rollout && next.rollout) {
+        validateNextRollout(*current.rollout, next, path, findings);
+    } else if (current.rollout) {
+        validateEndedRollout(*current.rollout, next, path, findings);
+    }
+    const bool isNew = next.rollout && (!current.rollout || current.rollout->number != next.rollout->number);
+    if (isNew && current.lastRollout && next.rollout->number <= current.lastRollout->number) {
+        findings.push_back({path + "/number", "must be higher than " + std::to_string(current.lastRollout->number)});
+    }
+}
+
 void validateSuccessor(const configuration_document &current, const configuration_document &next,
                        findings_list &findings)
 {
     for (const auto &[name, service] : next.services) {
         const auto before = current.services.find(name);
-        if (before != current.services.end() && before->second.rollout) {
-            validateNextRollout(*before->second.rollout, service, pointerTo("/services", name) + "/rollout", findings);
+        if (before != current.services.end()) {
+            validateNextService(before->second, service, pointerTo("/services", name) + "/rollout", findings);
         }
     }
 }
--- a/Utilities/ragwortcrankctl/ConfigCommands.cpp
+++ b/Utilities/ragwortcrankctl/ConfigCommands.cpp
@@ -44,7 +44,8 @@
         FLAGS_patch_id.empty() ? Configuration::makePatchId(FLAGS_base, makeToken()) : FLAGS_patch_id;
     if (!Configuration::firstNumberOf(id)) {
         return failUsage("--patch_id=" + id
-                         + " must be a number, a hyphen, and 1 to 64 letters a to z, digits and hyphens");
+                         + " must be a number, a hyphen, and 1 to 200 letters, digits, dots, hyphens and "
+                           "underscores");
     }
     return sendPatch(current, FLAGS_base, id, *patch);
 }
--- a/Utilities/ragwortcrankctl/RolloutCommands.cpp
+++ b/Utilities/ragwortcrankctl/RolloutCommands.cpp
@@ -104,6 +104,8 @@
         }
         from = state == "past_deadline" ? service->rollout->toVersion : service->version;
         number = service->rollout->number + 1;
+    } else if (service->lastRollout) {
+        number = service->lastRollout->number + 1;
     }
     const auto now = std::chrono::system_clock::now();
     return servicePatch(name,
