--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -27,6 +27,8 @@
 constexpr std::array scenarios {
     scenario {"stragglers", Bench::runStragglers},
     scenario {"store-outage", Bench::runStoreOutage},
+    scenario {"team-shares", Bench::runTeamShares},
+    scenario {"rollout", Bench::runRollout},
 };
 
 std::string seedsText(const Bench::bench_row &row)
--- a/Libraries/LibRollout/ChooseVersion.cpp
+++ b/Libraries/LibRollout/ChooseVersion.cpp
@@ -21,7 +21,7 @@
 
 std::string chooseVersion(const Configuration::service_settings &service, double newShare, std::string_view requestId)
 {
-    if (!service.rollout) {
+    if (!service.rollout || service.version == service.rollout->toVersion) {
         return service.version;
     }
     const bool useNew = drawFor(requestId, service.rollout->number) < newShare;
--- a/Libraries/LibRollout/CloseRollout.cpp
+++ b/Libraries/LibRollout/CloseRollout.cpp
@@ -13,6 +13,11 @@
 
 namespace Rollout
 {
+bool isClosed(const Configuration::service_settings &service)
+{
+    return !service.rollout || service.rollout->takenBack || service.version == service.rollout->toVersion;
+}
+
 static closing_patch makePatch(const std::string &name, std::uint64_t number, const char *end, json::object change)
 {
     json::object services;
@@ -24,7 +29,7 @@
 std::optional<closing_patch> closeRollout(const std::string &name, const Configuration::service_settings &service,
                                           const rollout_evidence &evidence, Core::wall_time now)
 {
-    if (!service.rollout || service.rollout->takenBack) {
+    if (!service.rollout || isClosed(service)) {
         return std::nullopt;
     }
     const Configuration::rollout_settings &rollout = *service.rollout;
@@ -32,7 +37,7 @@
         return makePatch(name, rollout.number, "taken-back", {{"rollout", json::object {{"taken_back", true}}}});
     }
     if (now >= rollout.deadline) {
-        return makePatch(name, rollout.number, "done", {{"version", rollout.toVersion}, {"rollout", nullptr}});
+        return makePatch(name, rollout.number, "done", {{"version", rollout.toVersion}});
     }
     return std::nullopt;
 }
--- a/Libraries/LibRollout/CloseRollout.h
+++ b/Libraries/LibRollout/CloseRollout.h
@@ -15,6 +15,10 @@
 {
 struct rollout_evidence;
 
+/// Whether the document says how the service's rollout ended: taken back, or done, which makes the new version the
+/// service's own.
+[[nodiscard]] bool isClosed(const Configuration::service_settings &service);
+
 /// Returns the patch that records the end of a service's rollout, if it has ended and the document does not say so yet.
 /// It must be made against the number of the document that `service` is from: of two daemons that disagree on the end
 /// only one can then write, and the other finds the rollout closed.
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -15,32 +15,45 @@
     return hash;
 }
 
-/// Returns whether the latency is high against the old version, whose quantile it moves if the query was the old
-/// version's.
-static bool isSlow(double &quantile, version_side side, double latency)
+static constexpr double highPart = 0.9;
+
+static void learnLatency(latency_baseline &baseline, double latency)
 {
-    constexpr double part = 0.9;
+    constexpr std::size_t enoughToStart = 10;
     constexpr double step = 0.05;
-    constexpr double margin = 1.3;
-    if (quantile <= 0.0) {
-        quantile = side == version_side::Old ? latency : 0.0;
-        return false;
+    if (baseline.highLatency > 0.0) {
+        baseline.highLatency *= latency > baseline.highLatency ? 1.0 + step * highPart : 1.0 - step * (1.0 - highPart);
+        return;
+    }
+    baseline.first.push_back(latency);
+    if (baseline.first.size() == enoughToStart) {
+        std::sort(baseline.first.begin(), baseline.first.end());
+        const double position = highPart * static_cast<double>(enoughToStart - 1);
+        baseline.highLatency = baseline.first[static_cast<std::size_t>(position)];
+        baseline.first.clear();
     }
-    const bool slow = latency > quantile * margin;
+}
+
+/// Returns whether the latency is high against the old version, which is learnt from its own queries.
+static bool isSlow(latency_baseline &baseline, version_side side, double latency)
+{
+    constexpr double margin = 1.4;
+    const bool slow = baseline.highLatency > 0.0 && latency > baseline.highLatency * margin;
     if (side == version_side::Old) {
-        quantile *= latency > quantile ? 1.0 + step * part : 1.0 - step * (1.0 - part);
+        learnLatency(baseline, latency);
     }
     return slow;
 }
 
-static void count(route_counts &counts, const observation &seen, bool faulty)
+static void count(route_counts &counts, const observation &seen, bool slow)
 {
     const bool isNew = seen.side == version_side::New;
     counts.newTotal += isNew ? 1 : 0;
-    if (faulty) {
-        ++counts.faulty;
-        counts.newFaulty += isNew ? 1 : 0;
-        counts.expected += static_cast<std::uint32_t>(std::lround(seen.newShare * route_counts::expectedScale));
+    if (seen.failed || slow) {
+        fault_counts &faults = seen.failed ? counts.errors : counts.slow;
+        ++faults.all;
+        faults.ofNew += isNew ? 1 : 0;
+        faults.expected += static_cast<std::uint32_t>(std::lround(seen.newShare * fault_counts::expectedScale));
     }
 }
 
@@ -54,21 +67,27 @@
 
 void recordAnswer(own_evidence &own, const observation &seen, Core::wall_time now)
 {
-    const bool slow = isSlow(own.highLatency[seen.route], seen.side, Core::toSeconds(seen.latency));
+    const bool slow = isSlow(own.baselines[seen.route], seen.side, Core::toSeconds(seen.latency));
     route_evidence &route = own.counts.routes[nameKey(seen.route)];
     for (std::size_t scale = 0; scale < windowLengths.size(); ++scale) {
         const auto window = static_cast<std::uint32_t>(now.time_since_epoch() / windowLengths[scale]);
-        count(route.windows[scale][window], seen, seen.failed || slow);
+        count(route.windows[scale][window], seen, slow);
         dropOldWindows(route.windows[scale]);
     }
 }
 
+static void takeLarger(fault_counts &held, const fault_counts &other)
+{
+    held.all = std::max(held.all, other.all);
+    held.ofNew = std::max(held.ofNew, other.ofNew);
+    held.expected = std::max(held.expected, other.expected);
+}
+
 static void takeLarger(route_counts &held, const route_counts &other)
 {
     held.newTotal = std::max(held.newTotal, other.newTotal);
-    held.newFaulty = std::max(held.newFaulty, other.newFaulty);
-    held.faulty = std::max(held.faulty, other.faulty);
-    held.expected = std::max(held.expected, other.expected);
+    takeLarger(held.errors, other.errors);
+    takeLarger(held.slow, other.slow);
 }
 
 static void mergeRoute(route_evidence &held, const route_evidence &other)
--- a/Libraries/LibRollout/EvidenceCodec.cpp
+++ b/Libraries/LibRollout/EvidenceCodec.cpp
@@ -46,9 +46,12 @@
     for (const auto &windows : route.windows) {
         appendNumber(text, windows.size());
         for (const auto &[number, counts] : windows) {
-            for (const std::uint32_t value :
-                 {number, counts.newTotal, counts.newFaulty, counts.faulty, counts.expected}) {
-                appendNumber(text, value);
+            appendNumber(text, number);
+            appendNumber(text, counts.newTotal);
+            for (const fault_counts &faults : {counts.errors, counts.slow}) {
+                appendNumber(text, faults.all);
+                appendNumber(text, faults.ofNew);
+                appendNumber(text, faults.expected);
             }
         }
     }
@@ -83,6 +86,11 @@
     return text;
 }
 
+static bool takeFaults(std::string_view &text, fault_counts &faults)
+{
+    return takeCount(text, faults.all) && takeCount(text, faults.ofNew) && takeCount(text, faults.expected);
+}
+
 static bool takeRoute(std::string_view &text, route_evidence &route)
 {
     for (auto &windows : route.windows) {
@@ -93,8 +101,8 @@
         for (; count > 0; --count) {
             std::uint32_t number = 0;
             route_counts counts;
-            if (!takeCount(text, number) || !takeCount(text, counts.newTotal) || !takeCount(text, counts.newFaulty)
-                || !takeCount(text, counts.faulty) || !takeCount(text, counts.expected)) {
+            if (!takeCount(text, number) || !takeCount(text, counts.newTotal) || !takeFaults(text, counts.errors)
+                || !takeFaults(text, counts.slow)) {
                 return false;
             }
             windows[number] = counts;
--- a/Libraries/LibRollout/JudgeEvidence.cpp
+++ b/Libraries/LibRollout/JudgeEvidence.cpp
@@ -11,55 +11,69 @@
 static constexpr double fewestFaulty = 8.0;
 /// Negative logarithm of the probability below which chance is ruled out. The evidence is judged several times a
 /// second for hours, so one look must hardly ever be wrong.
-static constexpr double certainty = 20.0;
+static constexpr double certainty = 17.0;
 /// Faults beyond the expected ones, as a part of the new version's answers, below which a difference does not matter.
 static constexpr double smallestExcess = 0.02;
 
-/// The counts of one route or of all, over all daemons.
+/// The faulty answers of one kind, on one route or on all, over all daemons.
 struct fault_sums {
-    double newTotal = 0.0;
-    double newFaulty = 0.0;
-    double faulty = 0.0;
+    double all = 0.0;
+    double ofNew = 0.0;
     double expected = 0.0; ///< Faulty answers of the new version if it were like the old one.
 };
 
-static void addCounts(fault_sums &sums, const route_counts &counts)
+/// The counts of one route or of all, over all daemons.
+struct route_sums {
+    double newTotal = 0.0;
+    fault_sums errors;
+    fault_sums slow;
+};
+
+static void addFaults(fault_sums &sums, const fault_counts &counts)
+{
+    sums.all += counts.all;
+    sums.ofNew += counts.ofNew;
+    sums.expected += counts.expected / fault_counts::expectedScale;
+}
+
+static void addCounts(route_sums &sums, const route_counts &counts)
 {
     sums.newTotal += counts.newTotal;
-    sums.newFaulty += counts.newFaulty;
-    sums.faulty += counts.faulty;
-    sums.expected += counts.expected / route_counts::expectedScale;
+    addFaults(sums.errors, counts.errors);
+    addFaults(sums.slow, counts.slow);
 }
 
-/// Returns `part` times the logarithm of `seen / expected`, 0 for no part.
-static double informationOf(double part, double seen, double expected)
+/// Returns one side's part of the bound's exponent; 0 for no faulty answers.
+static double informationOf(double seen, double expected)
 {
-    return part <= 0.0 ? 0.0 : part * std::log(seen / expected);
+    return seen <= 0.0 ? 0.0 : seen * std::log(seen / expected);
 }
 
 /// Returns whether chance is ruled out, by the Chernoff bound for independent draws with unequal probabilities.
-static bool isBad(const fault_sums &sums)
+static bool isBad(const fault_sums &faults, double newTotal)
 {
-    const double excess = sums.newFaulty - sums.expected;
-    if (sums.newFaulty < fewestFaulty || excess < smallestExcess * sums.newTotal || sums.expected >= sums.faulty) {
+    if (faults.ofNew < fewestFaulty || faults.ofNew - faults.expected < smallestExcess * newTotal) {
         return false;
     }
-    const double oldFaulty = sums.faulty - sums.newFaulty;
-    const double expectedOld = sums.faulty - sums.expected;
-    // With no expected fault at all the share was 0, and the answers are those of queries drawn before.
-    if (sums.expected <= 0.0) {
+    const double ofOld = faults.all - faults.ofNew;
+    const double expectedOfOld = faults.all - faults.expected;
+    // Without any expectation for one side there is nothing to compare with.
+    if (faults.expected <= 0.0 || expectedOfOld <= 0.0) {
         return false;
     }
-    return informationOf(sums.newFaulty, sums.newFaulty, sums.expected)
-        + informationOf(oldFaulty, oldFaulty, expectedOld)
-        >= certainty;
+    return informationOf(faults.ofNew, faults.expected) + informationOf(ofOld, expectedOfOld) >= certainty;
+}
+
+static bool isBad(const route_sums &sums)
+{
+    return isBad(sums.errors, sums.newTotal) || isBad(sums.slow, sums.newTotal);
 }
 
 static bool isBadInWindow(const rollout_evidence &evidence, std::size_t scale, Core::wall_time now)
 {
     const auto window = static_cast<std::uint32_t>(now.time_since_epoch() / windowLengths[scale]);
-    fault_sums all;
-    std::map<std::uint32_t, fault_sums> byRoute;
+    route_sums all;
+    std::map<std::uint32_t, route_sums> byRoute;
     for (const auto &[incarnation, daemon] : evidence.daemons) {
         for (const auto &[route, counts] : daemon.routes) {
             for (const auto &[number, part] : counts.windows[scale]) {
--- /dev/null
+++ b/Libraries/LibRollout/LatencyBaseline.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <vector>
+
+namespace Rollout
+{
+/// The old version's latency on one route at this daemon.
+struct latency_baseline {
+    double highLatency = 0.0; ///< Estimated 0.9 quantile in seconds; 0: not yet known.
+    std::vector<double> first; ///< The first latencies in seconds, from which the estimate starts.
+};
+} // namespace Rollout
--- a/Libraries/LibRollout/OwnEvidence.h
+++ b/Libraries/LibRollout/OwnEvidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibRollout/DaemonEvidence.h"
+#include "LibRollout/LatencyBaseline.h"
 
 #include <map>
 #include <string>
@@ -10,6 +11,6 @@
 /// What this daemon counts of one rollout, with the latencies that it compares against.
 struct own_evidence {
     daemon_evidence counts;
-    std::map<std::string, double> highLatency; ///< Estimated 0.9 quantile of the old version in seconds, by route.
+    std::map<std::string, latency_baseline> baselines; ///< By route.
 };
 } // namespace Rollout
--- a/Libraries/LibRollout/RolloutShare.h
+++ b/Libraries/LibRollout/RolloutShare.h
@@ -12,7 +12,7 @@
 struct rollout_evidence;
 
 /// Share of the new version until it has answered enough.
-inline constexpr double firstShare = 0.04;
+inline constexpr double firstShare = 0.03;
 /// Part of the time at whose end all traffic uses the new version.
 inline constexpr double movedBy = 0.9;
 
--- a/Tests/LibRollout/TestEvidence.cpp
+++ b/Tests/LibRollout/TestEvidence.cpp
@@ -18,7 +18,7 @@
         Rollout::route_evidence &route = daemon.routes[*rc::gen::inRange(0, 2)];
         const auto window = static_cast<std::uint32_t>(*rc::gen::inRange(0, 4));
         const auto total = static_cast<std::uint32_t>(*rc::gen::inRange(0, 50));
-        route.windows[0][window] = {total, total / 2, total + 1, total / 3};
+        route.windows[0][window] = {total, {total / 2, total / 3, total}, {total + 1, total, total}};
         Rollout::mergeDaemon(evidence, static_cast<std::uint64_t>(*rc::gen::inRange(0, 90)), daemon);
     }
     return evidence;
@@ -56,7 +56,7 @@
     Rollout::rollout_evidence evidence;
     for (std::uint64_t incarnation = 1; incarnation <= 40; ++incarnation) {
         Rollout::daemon_evidence daemon;
-        daemon.routes[7].windows[0][1] = {10, 1, 1, 20};
+        daemon.routes[7].windows[0][1] = {10, {1, 1, 20}, {}};
         Rollout::mergeDaemon(evidence, incarnation, daemon);
     }
     Rollout::rollout_evidence received;
--- a/Tests/LibRollout/TestRollout.cpp
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -109,8 +109,10 @@
     EXPECT_EQ(Rollout::closeRollout("s", service, evidence, after)->patchId, "rollout-s-7-taken-back");
     service.rollout->takenBack = true;
     EXPECT_FALSE(Rollout::closeRollout("s", service, {}, after));
-    service.rollout.reset();
+    service.rollout->takenBack = false;
+    service.version = "v2";
     EXPECT_FALSE(Rollout::closeRollout("s", service, evidence, after));
+    EXPECT_EQ(Rollout::chooseVersion(service, 0.0, "x"), "v2") << "done stays done";
 }
 
 TEST_F(rollout, RetriesUseTheSameVersionAndTheShareIsKept)
