Models: Check both promises of the at-most-once model in one claim

Cause: the runner verifies one claim a model, so not_run_is_true was not checked and FALSE_NOT_RUN was not found. Change: one claim for both. Conclusion: the runner's verdict covers the whole model.

--- a/Tests/Models/at_most_once.pml
+++ b/Tests/Models/at_most_once.pml
@@ -193,5 +193,5 @@
     od
 }
 
-ltl at_most_once { [] (runs <= 1) }
-ltl not_run_is_true { [] (!(saidNotRun && runs > 0)) }
+// Runs at most once, and not_run is never said of a request that ran or will run.
+ltl promises { [] (runs <= 1 && !(saidNotRun && runs > 0)) }
