LibWire: Carry the fingerprint and the status of resolved requests

Cause: a question about a request must name what was asked, and its answer the status that the first caller got. Change: two fields in resolveRequest.

--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -93,6 +93,6 @@
   gossip @0 (message :GossipMessage) -> (reply :GossipMessage);
   readConfiguration @1 (aboveNumber :UInt64) -> (reply :ConfigurationReply);
   runBranch @2 (request :BranchRequest, sink :BranchSink) -> (summary :BranchSummary);
-  resolveRequest @3 (requestId :Text) -> (state :UInt8, answer :Text);
+  resolveRequest @3 (requestId :Text, fingerprint :UInt64) -> (state :UInt8, answer :Text, status :UInt16);
   ping @4 () -> ();               # Tells a silent connection from a slow call.
 }
--- a/Libraries/LibWire/Peer.capnp.c++
+++ b/Libraries/LibWire/Peer.capnp.c++
@@ -1587,17 +1587,17 @@
   1, 1, i_a60eb0e0ebe17bef, nullptr, nullptr, { &s_a60eb0e0ebe17bef, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<34> b_dd695eac8a23efba = {
+static const ::capnp::_::AlignedData<50> b_dd695eac8a23efba = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     186, 239,  35, 138, 172,  94, 105, 221,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  50,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -1605,14 +1605,21 @@
     114, 101, 115, 111, 108, 118, 101,  82,
     101, 113, 117, 101, 115, 116,  36,  80,
      97, 114,  97, 109, 115,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  82,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   0,   0,   0,   3,   0,   1,   0,
+     60,   0,   0,   0,   2,   0,   1,   0,
     114, 101, 113, 117, 101, 115, 116,  73,
     100,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -1620,19 +1627,28 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_dd695eac8a23efba = b_dd695eac8a23efba.words;
 #if !CAPNP_LITE
-static const uint16_t m_dd695eac8a23efba[] = {0};
-static const uint16_t i_dd695eac8a23efba[] = {0};
+static const uint16_t m_dd695eac8a23efba[] = {1, 0};
+static const uint16_t i_dd695eac8a23efba[] = {0, 1};
 const ::capnp::_::RawSchema s_dd695eac8a23efba = {
-  0xdd695eac8a23efba, b_dd695eac8a23efba.words, 34, nullptr, m_dd695eac8a23efba,
-  0, 1, i_dd695eac8a23efba, nullptr, nullptr, { &s_dd695eac8a23efba, nullptr, nullptr, 0, 0, nullptr }
+  0xdd695eac8a23efba, b_dd695eac8a23efba.words, 50, nullptr, m_dd695eac8a23efba,
+  0, 2, i_dd695eac8a23efba, nullptr, nullptr, { &s_dd695eac8a23efba, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_aa3a0dcd61f6fcf3 = {
+static const ::capnp::_::AlignedData<63> b_aa3a0dcd61f6fcf3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     243, 252, 246,  97, 205,  13,  58, 170,
      16,   0,   0,   0,   1,   0,   1,   0,
@@ -1642,7 +1658,7 @@
      21,   0,   0,   0,  58,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      80, 101, 101, 114,  46,  99,  97, 112,
@@ -1650,21 +1666,28 @@
     114, 101, 115, 111, 108, 118, 101,  82,
     101, 113, 117, 101, 115, 116,  36,  82,
     101, 115, 117, 108, 116, 115,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
+     69,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  58,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
     115, 116,  97, 116, 101,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1679,16 +1702,24 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 116, 117, 115,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_aa3a0dcd61f6fcf3 = b_aa3a0dcd61f6fcf3.words;
 #if !CAPNP_LITE
-static const uint16_t m_aa3a0dcd61f6fcf3[] = {1, 0};
-static const uint16_t i_aa3a0dcd61f6fcf3[] = {0, 1};
+static const uint16_t m_aa3a0dcd61f6fcf3[] = {1, 0, 2};
+static const uint16_t i_aa3a0dcd61f6fcf3[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_aa3a0dcd61f6fcf3 = {
-  0xaa3a0dcd61f6fcf3, b_aa3a0dcd61f6fcf3.words, 48, nullptr, m_aa3a0dcd61f6fcf3,
-  0, 2, i_aa3a0dcd61f6fcf3, nullptr, nullptr, { &s_aa3a0dcd61f6fcf3, nullptr, nullptr, 0, 0, nullptr }
+  0xaa3a0dcd61f6fcf3, b_aa3a0dcd61f6fcf3.words, 63, nullptr, m_aa3a0dcd61f6fcf3,
+  0, 3, i_aa3a0dcd61f6fcf3, nullptr, nullptr, { &s_aa3a0dcd61f6fcf3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<16> b_e3dfb47970bafe7c = {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -374,7 +374,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd695eac8a23efba, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dd695eac8a23efba, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2324,6 +2324,8 @@
   inline bool hasRequestId() const;
   inline  ::capnp::Text::Reader getRequestId() const;
 
+  inline  ::uint64_t getFingerprint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2359,6 +2361,9 @@
   inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
 
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2407,6 +2412,8 @@
   inline bool hasAnswer() const;
   inline  ::capnp::Text::Reader getAnswer() const;
 
+  inline  ::uint16_t getStatus() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2445,6 +2452,9 @@
   inline void adoptAnswer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAnswer();
 
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4223,6 +4233,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Peer::ResolveRequestParams::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ResolveRequestParams::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ResolveRequestParams::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Peer::ResolveRequestResults::Reader::getState() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4271,6 +4295,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t Peer::ResolveRequestResults::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Peer::ResolveRequestResults::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ResolveRequestResults::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibWire/PeerClients.cpp
+++ b/Libraries/LibWire/PeerClients.cpp
@@ -82,14 +82,15 @@
     });
 }
 
-void peer_clients::resolveRequest(const std::string &address, const std::string &requestId,
+void peer_clients::resolveRequest(const std::string &address, const resolve_question &question,
                                   peer_network::completion<resolve_reply> done)
 {
-    call<resolve_reply>(address, std::move(done), [requestId](Schema::Peer::Client &peer) {
+    call<resolve_reply>(address, std::move(done), [question](Schema::Peer::Client &peer) {
         auto request = peer.resolveRequestRequest();
-        request.setRequestId(textOf(requestId));
+        request.setRequestId(textOf(question.requestId));
+        request.setFingerprint(question.fingerprint);
         return request.send().then([](capnp::Response<Schema::Peer::ResolveRequestResults> &&response) {
-            return resolve_reply {response.getState(), stringOf(response.getAnswer())};
+            return resolve_reply {response.getState(), stringOf(response.getAnswer()), response.getStatus()};
         });
     });
 }
--- a/Libraries/LibWire/PeerClients.h
+++ b/Libraries/LibWire/PeerClients.h
@@ -27,7 +27,7 @@
                     peer_network::completion<Membership::gossip_message> done);
     void readConfiguration(const std::string &address, std::uint64_t aboveNumber,
                            peer_network::completion<configuration_reply> done);
-    void resolveRequest(const std::string &address, const std::string &requestId,
+    void resolveRequest(const std::string &address, const resolve_question &question,
                         peer_network::completion<resolve_reply> done);
     void startBranch(std::uint64_t number, const std::string &address, branch_request request,
                      std::function<void(branch_answers)> onAnswers, peer_network::completion<branch_summary> onEnd);
--- a/Libraries/LibWire/PeerNetwork.cpp
+++ b/Libraries/LibWire/PeerNetwork.cpp
@@ -151,11 +151,11 @@
     });
 }
 
-void peer_network::resolveRequest(const std::string &address, const std::string &requestId,
+void peer_network::resolveRequest(const std::string &address, const resolve_question &question,
                                   const completion<resolve_reply> &done)
 {
     m_implementation->post(
-        done, [address, requestId, done](peer_loop &loop) { loop.clients.resolveRequest(address, requestId, done); });
+        done, [address, question, done](peer_loop &loop) { loop.clients.resolveRequest(address, question, done); });
 }
 
 std::uint64_t peer_network::startBranch(const std::string &address, branch_request request,
--- a/Libraries/LibWire/PeerNetwork.h
+++ b/Libraries/LibWire/PeerNetwork.h
@@ -12,6 +12,7 @@
 {
 struct branch_answers;
 struct branch_summary;
+struct resolve_question;
 struct peer_network_options;
 
 /// The connections between this daemon and its peers: one thread that serves peers and keeps one connection to each
@@ -38,7 +39,7 @@
                     const completion<Membership::gossip_message> &done);
     void readConfiguration(const std::string &address, std::uint64_t aboveNumber,
                            const completion<configuration_reply> &done);
-    void resolveRequest(const std::string &address, const std::string &requestId,
+    void resolveRequest(const std::string &address, const resolve_question &question,
                         const completion<resolve_reply> &done);
 
     /// Starts a branch at a peer and returns its number. `onAnswers` is called for each message of the branch, then
--- a/Libraries/LibWire/PeerService.cpp
+++ b/Libraries/LibWire/PeerService.cpp
@@ -157,7 +157,9 @@
     const std::uint64_t number = m_nextCall++;
     auto pair = kj::newPromiseAndFulfiller<resolve_reply>();
     m_resolves.emplace(number, kj::mv(pair.fulfiller));
-    m_handlers.onResolve(stringOf(context.getParams().getRequestId()), [number, inbox = m_inbox](resolve_reply reply) {
+    const auto params = context.getParams();
+    const resolve_question question {stringOf(params.getRequestId()), params.getFingerprint()};
+    m_handlers.onResolve(question, [number, inbox = m_inbox](resolve_reply reply) {
         inbox->post([number, reply = std::move(reply)](peer_loop &loop) { loop.service.answerResolve(number, reply); });
     });
     context.allowCancellation();
@@ -165,6 +167,7 @@
         .then([context](const resolve_reply &reply) mutable {
             context.getResults().setState(reply.state);
             context.getResults().setAnswer(textOf(reply.answer));
+            context.getResults().setStatus(reply.status);
         })
         .attach(kj::defer([this, number] { m_resolves.erase(number); }));
 }
--- a/Libraries/LibWire/ResolveReply.h
+++ b/Libraries/LibWire/ResolveReply.h
@@ -9,5 +9,6 @@
 struct resolve_reply {
     std::uint8_t state = 0;
     std::string answer; ///< The encoded answer, where the request was answered.
+    std::uint16_t status = 0; ///< HTTP status of the answer, where the request was answered.
 };
 } // namespace Wire
--- a/Tests/LibWire/TestPeerNetwork.cpp
+++ b/Tests/LibWire/TestPeerNetwork.cpp
@@ -245,8 +245,8 @@
     std::vector<std::pair<std::string, std::function<void(Wire::resolve_reply)>>> waiting;
     std::promise<void> bothWait;
     Wire::peer_handlers handlers;
-    handlers.onResolve = [&](const std::string &id, std::function<void(Wire::resolve_reply)> reply) {
-        waiting.emplace_back(id, std::move(reply));
+    handlers.onResolve = [&](const Wire::resolve_question &question, std::function<void(Wire::resolve_reply)> reply) {
+        waiting.emplace_back(question.requestId + std::to_string(question.fingerprint), std::move(reply));
         if (waiting.size() == 2) {
             bothWait.set_value();
         }
@@ -255,11 +255,11 @@
     const auto client = startNetwork({});
     std::promise<std::string> first;
     std::promise<std::string> second;
-    client->resolveRequest(addressOf(*server), "one", [&](auto reply) { first.set_value(reply.value().answer); });
-    client->resolveRequest(addressOf(*server), "two", [&](auto reply) { second.set_value(reply.value().answer); });
+    client->resolveRequest(addressOf(*server), {"one", 1}, [&](auto reply) { first.set_value(reply.value().answer); });
+    client->resolveRequest(addressOf(*server), {"two", 2}, [&](auto reply) { second.set_value(reply.value().answer); });
     bothWait.get_future().wait();
-    waiting[1].second({1, waiting[1].first});
-    waiting[0].second({1, waiting[0].first});
-    EXPECT_EQ(first.get_future().get(), "one");
-    EXPECT_EQ(second.get_future().get(), "two");
+    waiting[1].second({1, waiting[1].first, 200});
+    waiting[0].second({1, waiting[0].first, 200});
+    EXPECT_EQ(first.get_future().get(), "one1");
+    EXPECT_EQ(second.get_future().get(), "two2");
 }
