--- a/Services/ragwortcrankd/AnswerCodec.cpp
+++ b/Services/ragwortcrankd/AnswerCodec.cpp
@@ -45,15 +45,26 @@
     return response;
 }
 
-Platform::http_response encodeRefusal(int status, const std::string &requestId, const std::string &reason)
+static Platform::http_response encodeWithoutResult(int status, Query::outcome outcome, const std::string &requestId,
+                                                   const std::string &reason)
 {
     Platform::http_response response;
     response.status = status;
-    response.body =
-        json::serialize(json::object {{"outcome", "not_run"}, {"request_id", requestId}, {"reason", reason}});
+    response.body = json::serialize(
+        json::object {{"outcome", Query::outcomeName(outcome)}, {"request_id", requestId}, {"reason", reason}});
     return response;
 }
 
+Platform::http_response encodeRefusal(int status, const std::string &requestId, const std::string &reason)
+{
+    return encodeWithoutResult(status, Query::outcome::NotRun, requestId, reason);
+}
+
+Platform::http_response encodeUnknown(const std::string &requestId, const std::string &reason)
+{
+    return encodeWithoutResult(statusOf(Query::outcome::Unknown), Query::outcome::Unknown, requestId, reason);
+}
+
 Platform::http_response encodeError(int status, const std::string &message, const std::vector<Core::finding> &findings)
 {
     json::object object {{"error", message}};
--- a/Services/ragwortcrankd/AnswerCodec.h
+++ b/Services/ragwortcrankd/AnswerCodec.h
@@ -18,6 +18,9 @@
 [[nodiscard]] Platform::http_response encodeRefusal(int status, const std::string &requestId,
                                                     const std::string &reason);
 
+/// Encodes an answer for a request that may have run.
+[[nodiscard]] Platform::http_response encodeUnknown(const std::string &requestId, const std::string &reason);
+
 /// Encodes an error of an operator request with its findings.
 [[nodiscard]] Platform::http_response encodeError(int status, const std::string &message,
                                                   const std::vector<Core::finding> &findings = {});
--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -9,6 +9,7 @@
 #include "LibQuery/PlanQuery.h"
 #include "LibRollout/ChooseVersion.h"
 #include "LibTeams/Authenticate.h"
+#include "OnceGate.h"
 #include "QueryTask.h"
 #include "QueryWorker.h"
 
@@ -75,13 +76,31 @@
         responder.respond(encodeRefusal(statusOf(plan.error().code), request.requestId, plan.error().message));
         return;
     }
+    if (plan.value().idempotent) {
+        // Callers may choose the same id, so backend servers and branches see one that no other query has.
+        plan.value().requestId = makeRequestId();
+        submit(std::move(request), std::move(plan.value()), std::move(responder));
+        return;
+    }
+    m_daemon.once->begin(request, std::move(responder),
+                         [&](Platform::http_responder started) { submit(request, plan.value(), std::move(started)); });
+}
+
+void caller_api::submit(Query::query_request request, Query::query_plan plan, Platform::http_responder responder)
+{
     // std::function needs a copyable target, so the responder is held by a shared pointer.
     const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
     query_task task;
     task.request = std::move(request);
-    task.plan = std::move(plan.value());
-    task.done = [shared](const Query::query_result &result) {
-        shared->respond(encodeResult(result));
+    task.plan = std::move(plan);
+    task.done = [shared, once = task.plan.idempotent ? nullptr : m_daemon.once,
+                 callersId = task.request.requestId](Query::query_result result) {
+        result.requestId = callersId;
+        const Platform::http_response response = encodeResult(result);
+        if (once != nullptr) {
+            once->finish(callersId, response);
+        }
+        shared->respond(response);
     };
     m_workers[m_nextWorker++ % m_workers.size()]->submit(std::move(task));
 }
--- a/Services/ragwortcrankd/CallerApi.h
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -17,8 +17,9 @@
 
 namespace Query
 {
+struct query_plan;
 struct query_request;
-}
+} // namespace Query
 
 struct daemon_state;
 class query_worker;
@@ -33,6 +34,7 @@
 
 private:
     void startQuery(Query::query_request request, Platform::http_responder responder);
+    void submit(Query::query_request request, Query::query_plan plan, Platform::http_responder responder);
     std::string makeRequestId();
 
     daemon_state &m_daemon;
--- a/Services/ragwortcrankd/DaemonState.h
+++ b/Services/ragwortcrankd/DaemonState.h
@@ -17,6 +17,7 @@
 }
 
 class membership_loop;
+class once_gate;
 
 /// What the daemon's threads share. Each member guards itself.
 struct daemon_state {
@@ -30,5 +31,6 @@
     /// Branches and resolving of requests; set before the peer network starts.
     Wire::peer_handlers peerHandlers;
     membership_loop *membership = nullptr; ///< Set before the threads start; lives as long as they.
+    once_gate *once = nullptr; ///< Set before the peer network starts; lives as long as it.
     Wire::peer_network *peers = nullptr; ///< Set before callers are served; lives as long as they are.
 };
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -11,6 +11,7 @@
 #include "LibWire/PeerNetwork.h"
 #include "LibWire/PeerNetworkOptions.h"
 #include "MembershipLoop.h"
+#include "OnceGate.h"
 #include "OperatorApi.h"
 #include "PatchWriter.h"
 #include "PeerHandlersOf.h"
@@ -63,6 +64,16 @@
     };
 }
 
+static void setOnce(daemon_state &daemon, once_gate &once)
+{
+    daemon.once = &once;
+    daemon.peerHandlers.onResolve = [&once](const Wire::resolve_question &question, const auto &reply) {
+        once.resolve(question.requestId, question.fingerprint, [reply](const once_answer &known) {
+            reply({static_cast<std::uint8_t>(known.decision), known.body, static_cast<std::uint16_t>(known.status)});
+        });
+    };
+}
+
 static Core::result<std::unique_ptr<Wire::peer_network>> startPeers(daemon_state &daemon, membership_loop &membership)
 {
     Wire::peer_network_options options;
@@ -81,6 +92,8 @@
     std::random_device seedSource;
     membership_loop membership(daemon, seedSource());
     setHooks(daemon, membership);
+    once_gate once(daemon);
+    setOnce(daemon, once);
     std::vector<std::unique_ptr<query_worker>> workers;
     workers.reserve(static_cast<std::size_t>(daemon.daemonSettings.queryThreads));
     for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
--- /dev/null
+++ b/Services/ragwortcrankd/OnceGate.cpp
@@ -0,0 +1,173 @@
+#include "OnceGate.h"
+
+#include "AnswerCodec.h"
+#include "DaemonState.h"
+#include "LibPlatform/HttpResponse.h"
+#include "LibQuery/OnceEvents.h"
+#include "LibQuery/QueryRequest.h"
+#include "LibQuery/RequestIdentityText.h"
+#include "LibWire/PeerNetwork.h"
+#include "LibWire/ResolveQuestion.h"
+#include "LibWire/ResolveReply.h"
+#include "MembershipLoop.h"
+#include "OnceShard.h"
+
+#include <boost/container_hash/hash.hpp>
+
+#include <utility>
+
+using Query::once_decision;
+
+once_gate::once_gate(daemon_state &daemon)
+    : m_daemon(daemon)
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_startedAtWallTime(std::chrono::system_clock::now())
+{
+    for (std::unique_ptr<once_shard> &shard : m_shards) {
+        shard = std::make_unique<once_shard>();
+        shard->registry.virtualMachine = daemon.daemonSettings.virtualMachine;
+        shard->registry.incarnation = daemon.incarnation;
+    }
+}
+
+once_gate::~once_gate() = default;
+
+once_shard &once_gate::shardOf(const std::string &requestId)
+{
+    return *m_shards[boost::hash<std::string>()(requestId) % shardCount];
+}
+
+Core::wall_time once_gate::now() const
+{
+    const auto sinceStart = std::chrono::steady_clock::now() - m_startedAt;
+    return m_startedAtWallTime + std::chrono::duration_cast<Core::wall_time::duration>(sinceStart);
+}
+
+/// Hashes what is asked and by whom, the same on every daemon.
+static std::uint64_t fingerprintOf(const Query::query_request &request)
+{
+    std::size_t hash = 0;
+    for (const std::string *part :
+         {&request.team, &request.service, &request.route, &request.text, &request.shardKey}) {
+        boost::hash_combine(hash, *part);
+    }
+    return hash;
+}
+
+static Platform::http_response responseTo(const std::string &requestId, const once_answer &answer)
+{
+    Platform::http_response response;
+    switch (answer.decision) {
+    case once_decision::Replay:
+        response.status = answer.status;
+        response.body = answer.body;
+        return response;
+    case once_decision::NotRun:
+        return encodeRefusal(409, requestId, "the request was refused for good; send it under a new id");
+    case once_decision::Mismatch:
+        return encodeRefusal(409, requestId, "the request id was used for another request");
+    case once_decision::Malformed:
+        return encodeRefusal(400, requestId,
+                             "X-Request-Id must be INCARNATION.TIME.RANDOM with the incarnation from /v1/entries of "
+                             "the daemon that is called, and the present time in milliseconds since 1970");
+    case once_decision::Start:
+    case once_decision::Wait:
+    case once_decision::AskNamedDaemon:
+    case once_decision::Unknown:
+        break;
+    }
+    return encodeUnknown(requestId, "what became of the request cannot be found out any more");
+}
+
+void once_gate::begin(const Query::query_request &request, Platform::http_responder responder,
+                      const std::function<void(Platform::http_responder)> &start)
+{
+    const std::string id = request.requestId;
+    const std::uint64_t fingerprint = fingerprintOf(request);
+    once_shard &shard = shardOf(id);
+    std::unique_lock lock(shard.mutex);
+    once_answer known;
+    known.decision = Query::beginOnce(shard.registry, id, fingerprint, now());
+    if (known.decision == once_decision::Start) {
+        lock.unlock();
+        start(std::move(responder));
+        return;
+    }
+    // std::function needs a copyable target, so the responder is held by a shared pointer.
+    const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
+    const auto answer = [shared, id](const once_answer &found) {
+        shared->respond(responseTo(id, found));
+    };
+    if (known.decision == once_decision::Wait) {
+        shard.waiters[id].emplace_back(answer);
+        return;
+    }
+    if (known.decision == once_decision::Replay) {
+        known.status = shard.registry.entries.at(id).status;
+        known.body = shard.registry.entries.at(id).answer;
+    }
+    lock.unlock();
+    if (known.decision == once_decision::AskNamedDaemon) {
+        askNamedDaemon(id, fingerprint, answer);
+        return;
+    }
+    answer(known);
+}
+
+void once_gate::finish(const std::string &requestId, const Platform::http_response &response)
+{
+    once_shard &shard = shardOf(requestId);
+    std::vector<std::function<void(once_answer)>> waiters;
+    {
+        const std::scoped_lock lock(shard.mutex);
+        Query::finishOnce(shard.registry, requestId, response.status, response.body);
+        const auto found = shard.waiters.find(requestId);
+        if (found != shard.waiters.end()) {
+            waiters = std::move(found->second);
+            shard.waiters.erase(found);
+        }
+    }
+    for (const std::function<void(once_answer)> &waiter : waiters) {
+        waiter({once_decision::Replay, response.status, response.body});
+    }
+}
+
+void once_gate::resolve(const std::string &requestId, std::uint64_t fingerprint,
+                        const std::function<void(once_answer)> &reply)
+{
+    once_shard &shard = shardOf(requestId);
+    once_answer known;
+    {
+        const std::scoped_lock lock(shard.mutex);
+        known.decision = Query::resolveOnce(shard.registry, requestId, fingerprint, now());
+        if (known.decision == once_decision::Wait) {
+            shard.waiters[requestId].push_back(reply);
+            return;
+        }
+        if (known.decision == once_decision::Replay) {
+            known.status = shard.registry.entries.at(requestId).status;
+            known.body = shard.registry.entries.at(requestId).answer;
+        }
+    }
+    reply(known);
+}
+
+void once_gate::askNamedDaemon(const std::string &requestId, std::uint64_t fingerprint,
+                               std::function<void(once_answer)> answer)
+{
+    const auto identity = Query::parseRequestIdentity(requestId);
+    const std::string address = identity ? m_daemon.membership->peerAddress(identity->virtualMachine) : std::string();
+    if (address.empty() || identity->virtualMachine == m_daemon.daemonSettings.virtualMachine) {
+        answer({once_decision::Unknown, 0, {}});
+        return;
+    }
+    m_daemon.peers->resolveRequest(address, {requestId, fingerprint},
+                                   [answer = std::move(answer)](Core::result<Wire::resolve_reply> reply) {
+                                       if (!reply) {
+                                           answer({once_decision::Unknown, 0, {}});
+                                           return;
+                                       }
+                                       answer({static_cast<once_decision>(reply.value().state), reply.value().status,
+                                               std::move(reply.value().answer)});
+                                   });
+}
--- a/Tests/Processes/CallerLoad.cpp
+++ b/Tests/Processes/CallerLoad.cpp
@@ -75,6 +75,9 @@
 static void countAnswer(const json::object &answer, const std::string &query, double milliseconds, load_tally &tally)
 {
     ++tally.outcomes[std::string(answer.at("outcome").as_string())];
+    if (const json::value *reason = answer.if_contains("reason")) {
+        ++tally.reasons[std::string(reason->as_string())];
+    }
     if (!answer.contains("results") || answer.at("shards_answered").to_number<int>() == 0) {
         return;
     }
--- a/Tests/Processes/TestStoreFailures.cpp
+++ b/Tests/Processes/TestStoreFailures.cpp
@@ -52,3 +52,16 @@
     EXPECT_EQ(fleet.patch(1, 1, "after", {{"tier", {{"hedge_budget", 0.02}}}}), 200);
     EXPECT_TRUE(fleet.waitForNumber(2, 7s));
 }
+
+TEST(StoreFailures, FreshDaemonLearnsTheNewestConfigurationFromPeers)
+{
+    Processes::test_fleet fleet({});
+    ASSERT_EQ(fleet.patch(0, 1, "second", {{"tier", {{"hedge_budget", 0.01}}}}), 200);
+    ASSERT_TRUE(fleet.waitForNumber(2, 7s));
+    fleet.setStoreFaults({{"down", true}});
+    fleet.daemon(2).signal(SIGKILL);
+    fleet.daemon(2).waitForExit(5s);
+    fleet.restartDaemon(2);
+    EXPECT_TRUE(fleet.waitUntilReady(2));
+    EXPECT_EQ(fleet.numberInForce(2), 2U);
+}
