LibBackend: Let two daemons that claim one cold replica both wait

Cause: the first model of the cold start, with a first by rank that changes at will, found two daemons that were both first in confirmed views and sent together: each was confirmed while the other's view had not yet changed. The hand-over alone covers one change and a pause, not lists that go on differing. Change: claimedReplicas and observeClaim; a daemon that hears another's claim to a replica starts its hand-over again. Conclusion: while claims reach each confirmed daemon the sum stays within the bound; a data centre split in itself needs a majority before membership confirms a view.

--- a/Libraries/LibBackend/Ownership.cpp
+++ b/Libraries/LibBackend/Ownership.cpp
@@ -46,6 +46,25 @@
     service.ownershipConfirmedAt = now;
 }
 
+std::vector<std::string> claimedReplicas(const service_state &service)
+{
+    std::vector<std::string> claimed;
+    for (const replica_state &replica : service.replicas) {
+        if (!replica.removed && replica.warmerRank == 0 && replica.warmth.level == 0) {
+            claimed.push_back(replica.name);
+        }
+    }
+    return claimed;
+}
+
+void observeClaim(service_state &service, std::string_view name, Core::time_point now)
+{
+    const auto found = service.byName.find(name);
+    if (found != service.byName.end()) {
+        service.replicas[found->second].warmerSince = now;
+    }
+}
+
 bool mayWarm(const service_state &service, const replica_state &replica, Core::time_point now)
 {
     if (!service.ownershipKnown) {
--- a/Tests/LibBackend/TestWarmth.cpp
+++ b/Tests/LibBackend/TestWarmth.cpp
@@ -98,6 +98,18 @@
     EXPECT_TRUE(choose());
 }
 
+TEST_F(warmth, TwoDaemonsThatBothClaimAReplicaBothWait)
+{
+    rankForA1(0);
+    passHandOver();
+    ASSERT_TRUE(choose());
+    EXPECT_EQ(Backend::claimedReplicas(service), std::vector<std::string> {"a1"});
+    Backend::observeClaim(service, "a1", now);
+    EXPECT_FALSE(choose());
+    passHandOver();
+    EXPECT_TRUE(choose());
+}
+
 TEST_F(warmth, WarmthNeedsAnswersAndNotOnlyTime)
 {
     rankForA1(0);
