Benchmarks: Measure cold starts, a data centre out, leaving and silent connections

Hedges cut off the slow answers, so that the answers that were left looked warm; and under load the mean of the warm replicas was itself slow. Ruled out: the hand-over and the gossip, since the scenario with reports held. Change: evidence is the sum of eight latencies against the mean of warm replicas with a free slot; an overtaken answer forgets it. Planted: evidence without the slow check, without overtaken answers; a test fails each time.

--- a/Benchmarks/Policy/FakeReplica.cpp
+++ b/Benchmarks/Policy/FakeReplica.cpp
@@ -22,11 +22,15 @@
 {
     fake_reply reply;
     reply.failure = failure;
+    reply.answer.report.incarnation = std::to_string(settings.incarnation);
+    reply.answer.report.cold = settings.cold && settings.reportsCold;
+    reply.answer.report.leaving = settings.leaving;
     request.done(reply);
 }
 
 void fake_replica::accept(fake_request request)
 {
+    ++received;
     if (settings.down) {
         reply(request, attempt_failure::ConnectFailed);
     } else if (settings.snapshotGone) {
--- a/Benchmarks/Policy/FakeReplica.h
+++ b/Benchmarks/Policy/FakeReplica.h
@@ -36,6 +36,7 @@
 
     std::map<std::string, std::uint32_t> runsByRequest; ///< How often each request id was started; only if kept.
     bool keepsRuns = false;
+    std::uint64_t received = 0; ///< Requests that arrived, refused ones included; scenarios set it to zero.
     std::uint64_t started = 0;
     std::uint64_t startedSince = 0; ///< Scenarios set it to zero to count from some moment.
     std::uint32_t mostWhileCold = 0; ///< Most requests that it held at once while it was cold.
--- a/Benchmarks/Policy/QueryDriver.cpp
+++ b/Benchmarks/Policy/QueryDriver.cpp
@@ -45,6 +45,16 @@
     }
 }
 
+void query_driver::applyGradually(const Configuration::configuration_document &document, Core::duration longest)
+{
+    m_document = document;
+    for (std::size_t daemon = 0; daemon < m_services.size(); ++daemon) {
+        events.after(longest * daemon / m_services.size(), [this, document, daemon] {
+            Backend::applyConfiguration(m_services[daemon], document, document.services.at("search"), events.now());
+        });
+    }
+}
+
 void query_driver::offer(double queriesPerSecond, Core::time_point end)
 {
     scheduleNext(queriesPerSecond, end);
@@ -180,6 +190,16 @@
     return reply.failure ? Query::cancelled_end::Failed : Query::cancelled_end::Answered;
 }
 
+/// What the codec makes of a refusal: the kind, and what the replica says of itself.
+static Backend::failed_attempt failedAttempt(const fake_reply &reply)
+{
+    const auto failure = reply.failure.value_or(Backend::attempt_failure::Cancelled);
+    if (failure == Backend::attempt_failure::NotRun || failure == Backend::attempt_failure::SnapshotGone) {
+        return {failure, reply.answer.report};
+    }
+    return failure;
+}
+
 void query_driver::receive(std::uint64_t number, const Query::send_attempt &attempt, const fake_reply &reply)
 {
     const std::uint64_t key = attemptKey(number, attempt.attempt);
@@ -191,10 +211,11 @@
     }
     driven_query &query = m_queries.at(number);
     if (reply.cancelled || reply.failure) {
-        const auto failure = reply.failure.value_or(Backend::attempt_failure::Cancelled);
+        const Backend::failed_attempt failed = failedAttempt(reply);
+        const auto failure = failed.failure;
         connectFailures += failure == Backend::attempt_failure::ConnectFailed ? 1 : 0;
         carryOut(number,
-                 Query::onFailure(query.state, serviceOf(query), attempt.attempt, failure, events.now(), m_random));
+                 Query::onFailure(query.state, serviceOf(query), attempt.attempt, failed, events.now(), m_random));
         return;
     }
     if (reply.answer.requestId == query.state.plan.requestId && reply.answer.snapshot == query.state.plan.snapshot) {
--- a/Benchmarks/Policy/QueryDriver.h
+++ b/Benchmarks/Policy/QueryDriver.h
@@ -37,6 +37,8 @@
 
     /// Puts a newer document in force at every daemon.
     void apply(const Configuration::configuration_document &document);
+    /// Puts a newer document in force at one daemon after the other, the last one after `longest`.
+    void applyGradually(const Configuration::configuration_document &document, Core::duration longest);
     /// Sends queries at random times at the rate, to the daemons in turn, until `end`. Scenarios may call it again.
     void offer(double queriesPerSecond, Core::time_point end);
     /// Sends one query now.
--- a/Benchmarks/Policy/Scenarios.h
+++ b/Benchmarks/Policy/Scenarios.h
@@ -15,4 +15,12 @@
 
 /// Good versions are moved in time and never taken back; bad ones are taken back whenever their fault shows.
 [[nodiscard]] std::vector<bench_row> runRollout();
+/// Replicas that restart, with and without notice, while daemons disagree on who warms them.
+[[nodiscard]] std::vector<bench_row> runColdStart();
+/// A data centre out for ten minutes and back, all its replicas cold.
+[[nodiscard]] std::vector<bench_row> runDataCentreOut();
+/// Replicas that leave, told by the configuration or only by themselves.
+[[nodiscard]] std::vector<bench_row> runLeaving();
+/// Three in ten open connections fall silent at once.
+[[nodiscard]] std::vector<bench_row> runSilentConnections();
 } // namespace Bench
--- a/Libraries/LibBackend/ReplicaEvents.cpp
+++ b/Libraries/LibBackend/ReplicaEvents.cpp
@@ -19,9 +19,9 @@
 static constexpr std::chrono::milliseconds firstAvoidance {200};
 static constexpr std::uint32_t mostDoublings = 5;
 
-void recordSent(service_state &service, std::size_t replica, Core::time_point)
+void recordSent(service_state &service, std::size_t index, Core::time_point)
 {
-    ++service.replicas[replica].inFlight;
+    ++service.replicas[index].inFlight;
 }
 
 static replica_state &endRequest(service_state &service, std::size_t index)
@@ -42,7 +42,7 @@
     maximum = std::max(value, maximum * (1.0 - decay));
 }
 
-static void recordLatency(service_state &service, replica_state &replica, Core::duration latency)
+static void recordLatency(service_state &service, replica_state &replica, double load, Core::duration latency)
 {
     const double seconds = Core::toSeconds(latency);
     smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
@@ -50,6 +50,9 @@
     followMaximum(service.slowestRecentSeconds, seconds, serviceMaximumDecay);
     if (replica.warmth.level >= warmestLevel) {
         smooth(service.warmLatencySeconds, seconds, serviceLatencyWeight);
+        if (load < 1.0) {
+            smooth(service.unloadedLatencySeconds, seconds, serviceLatencyWeight);
+        }
     }
 }
 
@@ -61,7 +64,7 @@
     if (!report.cold) {
         observeWarmAnswer(service, replica, latency, now);
     }
-    recordLatency(service, replica, latency);
+    recordLatency(service, replica, report.load, latency);
     replica.answeredAt = now;
     replica.hint = load_hint {report.load, now};
     replica.consecutiveFailures = 0;
@@ -87,6 +90,7 @@
 void recordOvertaken(service_state &service, std::size_t index, Core::duration elapsed, Core::time_point now)
 {
     replica_state &replica = service.replicas[index];
+    observeOvertaken(service, replica, elapsed);
     const double seconds = Core::toSeconds(elapsed);
     if (seconds > replica.smoothedLatencySeconds) {
         smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
--- a/Libraries/LibBackend/ReplicaState.h
+++ b/Libraries/LibBackend/ReplicaState.h
@@ -28,7 +28,8 @@
     Core::time_point avoidUntil; ///< Chosen only if no other replica can serve, until then.
 
     warmth_record warmth; ///< Its incarnation is the last one heard.
-    std::uint32_t warmAnswers = 0; ///< Evidence of warmth since the level last changed.
+    std::uint32_t warmAnswers = 0; ///< Answers that were not reported cold, since the level last changed.
+    double warmAnswerSeconds = 0.0; ///< The sum of their latencies.
     Core::time_point warmthChangedAt; ///< By own evidence or by a peer's record.
 
     static constexpr std::uint32_t noRank = std::numeric_limits<std::uint32_t>::max();
--- a/Libraries/LibBackend/ServiceState.h
+++ b/Libraries/LibBackend/ServiceState.h
@@ -35,6 +35,7 @@
     std::uint32_t connectionsPerReplica = 0; ///< 0: not limited by a view.
 
     double warmLatencySeconds = 0.0; ///< Weighted mean over all warm replicas; 0: no answer yet.
+    double unloadedLatencySeconds = 0.0; ///< The same over answers that reported a free slot; 0: no answer yet.
     double slowestRecentSeconds = 0.0; ///< Decaying maximum over all replicas.
     std::string currentSnapshot; ///< The configuration's; newer than the pin of queries that started before it.
     latency_tracker firstLatencies; ///< Of first attempts only, so that hedges don't move their own trigger.
--- a/Libraries/LibBackend/Warmth.cpp
+++ b/Libraries/LibBackend/Warmth.cpp
@@ -13,8 +13,8 @@
 static constexpr std::uint32_t answersPerLevel = 8;
 /// A level is held this long, so that the load of the daemons that it lets in shows in the answers.
 static constexpr std::chrono::milliseconds levelDuration {500};
-/// An answer slower than this multiple of the service's mean is no evidence of warmth.
-static constexpr double slowFactor = 4.0;
+/// Answers that together are slower than this multiple of those of warm replicas with a free slot are no evidence.
+static constexpr double slowFactor = 1.5;
 
 warmth_record joinWarmth(const warmth_record &left, const warmth_record &right)
 {
@@ -34,10 +34,16 @@
     return records;
 }
 
+static void forgetEvidence(replica_state &replica)
+{
+    replica.warmAnswers = 0;
+    replica.warmAnswerSeconds = 0.0;
+}
+
 static void setWarmth(replica_state &replica, warmth_record record, Core::time_point now)
 {
     replica.warmth = std::move(record);
-    replica.warmAnswers = 0;
+    forgetEvidence(replica);
     replica.warmthChangedAt = now;
 }
 
@@ -106,7 +112,7 @@
         turnCold(replica, report.incarnation, now);
     }
     if (report.cold) {
-        replica.warmAnswers = 0;
+        forgetEvidence(replica);
     }
     // A leaving process never comes back to work; only its successor may.
     replica.reportedLeaving = report.leaving || (replica.reportedLeaving && !restarted);
@@ -117,19 +123,28 @@
     if (replica.warmth.level >= warmestLevel || !mayWarm(service, replica, now)) {
         return;
     }
-    const double usual = service.warmLatencySeconds;
-    if (usual > 0.0 && Core::toSeconds(latency) > usual * slowFactor) {
-        replica.warmAnswers = 0;
+    ++replica.warmAnswers;
+    replica.warmAnswerSeconds += Core::toSeconds(latency);
+    if (replica.warmAnswers < answersPerLevel || now - replica.warmthChangedAt < levelDuration) {
         return;
     }
-    ++replica.warmAnswers;
-    if (replica.warmAnswers >= answersPerLevel && now - replica.warmthChangedAt >= levelDuration) {
+    const double usual = service.unloadedLatencySeconds;
+    if (usual > 0.0 && replica.warmAnswerSeconds > usual * slowFactor * replica.warmAnswers) {
+        forgetEvidence(replica);
+    } else {
         warmth_record next = replica.warmth;
         ++next.level;
         setWarmth(replica, std::move(next), now);
     }
 }
 
+void observeOvertaken(const service_state &service, replica_state &replica, Core::duration elapsed)
+{
+    if (Core::toSeconds(elapsed) > service.unloadedLatencySeconds) {
+        forgetEvidence(replica);
+    }
+}
+
 bool hasColdRoom(const service_state &service, const replica_state &replica, Core::time_point now)
 {
     const std::uint32_t level = replica.warmth.level;
--- a/Libraries/LibBackend/Warmth.h
+++ b/Libraries/LibBackend/Warmth.h
@@ -31,6 +31,10 @@
 /// replica moves it on to the next level.
 void observeWarmAnswer(service_state &service, replica_state &replica, Core::duration latency, Core::time_point now);
 
+/// Takes a request that another replica overtook as evidence against warmth. Hedges cut off the slow answers, and those
+/// that are left would make a cold replica look warm.
+void observeOvertaken(const service_state &service, replica_state &replica, Core::duration elapsed);
+
 /// Whether the cold start leaves room for one more request of this daemon to the replica.
 [[nodiscard]] bool hasColdRoom(const service_state &service, const replica_state &replica, Core::time_point now);
 } // namespace Backend
--- a/Tests/LibBackend/TestWarmth.cpp
+++ b/Tests/LibBackend/TestWarmth.cpp
@@ -149,6 +149,25 @@
     EXPECT_EQ(replica("a1").warmth.level, 0U);
 }
 
+TEST_F(warmth, OvertakenAnswersCountAgainstWarmth)
+{
+    warmAll();
+    for (int count = 0; count < 50; ++count) {
+        answer("a2", {"i1", 0.5, false, false});
+    }
+    answer("a1", {"i2", 0.5, false, false});
+    rankForA1(0);
+    passHandOver();
+    for (int count = 0; count < 100; ++count) {
+        Backend::confirmOwnership(service, now);
+        answer("a1", {"i2", 0.5, false, false});
+        if (count % 4 == 0) {
+            Backend::recordOvertaken(service, service.byName.at("a1"), std::chrono::milliseconds(9), now);
+        }
+    }
+    EXPECT_EQ(replica("a1").warmth.level, 0U) << "a quarter of its answers were cut off by hedges";
+}
+
 TEST_F(warmth, ARestartOrAColdReportHoldsTheReplicaFromTheFirstEvidenceOn)
 {
     warmAll();
