ragwortcrankd: Report metrics, record spans and collect every fault of the flags

Cause: nothing could be seen of a running daemon, and gflags ended the process with exit code 1 at unknown flags and wrong types. The run command says when its ports are taken. Conclusion: a daemon can be watched.

--- a/Meta/commands/run.sh
+++ b/Meta/commands/run.sh
@@ -27,6 +27,12 @@
 store_port=20900
 caller_port=20100
 peer_port=20500
+for port in "$store_port" "$caller_port"; do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+        echo "port $port is in use; end what runs there first" >&2
+        exit 1
+    fi
+done
 logs=$(mktemp -d)
 trap end_processes EXIT
 
--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -10,6 +10,7 @@
 #include "LibRollout/ChooseVersion.h"
 #include "LibTeams/Authenticate.h"
 #include "OnceGate.h"
+#include "QueryObservation.h"
 #include "QueryTask.h"
 #include "QueryWorker.h"
 
@@ -90,12 +91,15 @@
 {
     // std::function needs a copyable target, so the responder is held by a shared pointer.
     const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
+    query_observation observation = beginObservation(m_daemon, request);
     query_task task;
     task.request = std::move(request);
     task.plan = std::move(plan);
-    task.done = [shared, once = task.plan.idempotent ? nullptr : m_daemon.once,
+    task.done = [this, observation = std::move(observation), shared,
+                 once = task.plan.idempotent ? nullptr : m_daemon.once,
                  callersId = task.request.requestId](Query::query_result result) {
         result.requestId = callersId;
+        endObservation(m_daemon, observation, result);
         const Platform::http_response response = encodeResult(result);
         if (once != nullptr) {
             once->finish(callersId, response);
--- a/Services/ragwortcrankd/DaemonState.h
+++ b/Services/ragwortcrankd/DaemonState.h
@@ -2,8 +2,10 @@
 
 #include "ActiveConfiguration.h"
 #include "ControlHooks.h"
+#include "DaemonMetrics.h"
 #include "DrainControl.h"
 #include "GossipExchange.h"
+#include "LibObservability/TraceRecorder.h"
 #include "LibWire/PeerHandlers.h"
 #include "ServiceShards.h"
 #include "Settings.h"
@@ -25,6 +27,8 @@
     std::uint64_t incarnation = 0; ///< Start time in nanoseconds of civil time; not changed after the start.
     active_configuration configuration;
     service_shards services;
+    daemon_metrics metrics;
+    Observability::trace_recorder traces {4096};
     control_hooks hooks; ///< Set before the threads start.
     gossip_exchange gossip;
     drain_control drain;
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -4,6 +4,7 @@
 #include "ConfigurationWatcher.h"
 #include "DaemonState.h"
 #include "EntriesApi.h"
+#include "LibConfiguration/ConfigurationDocument.h"
 #include "LibObservability/Log.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibPlatform/HttpServer.h"
@@ -40,6 +41,11 @@
         response.contentType = "text/plain";
         response.body = "alive\n";
         responder.respond(response);
+    } else if (request.path == "/metrics") {
+        Platform::http_response response;
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = daemon.metrics.registry.toText(std::chrono::steady_clock::now());
+        responder.respond(response);
     } else if (request.path == "/readyz") {
         handleReadiness(daemon, std::move(responder));
     } else if (request.path == "/v1/entries" && request.method == "GET") {
@@ -64,6 +70,17 @@
     };
 }
 
+static void registerGauges(daemon_state &daemon, membership_loop &membership)
+{
+    Observability::metrics_registry &registry = daemon.metrics.registry;
+    registry.gauge("ragwortcrank_configuration_number", "Number of the configuration in force.",
+                   [&daemon] { return static_cast<double>(daemon.configuration.current()->number); });
+    registry.gauge("ragwortcrank_live_daemons", "Daemons that this one holds to be alive, itself included.",
+                   [&membership] { return static_cast<double>(membership.numbersInForce().size()); });
+    registry.gauge("ragwortcrank_isolated", "1 while neither the store nor any peer is heard.",
+                   [&membership] { return membership.isIsolated() ? 1.0 : 0.0; });
+}
+
 static void setOnce(daemon_state &daemon, once_gate &once)
 {
     daemon.once = &once;
@@ -92,6 +109,7 @@
     std::random_device seedSource;
     membership_loop membership(daemon, seedSource());
     setHooks(daemon, membership);
+    registerGauges(daemon, membership);
     once_gate once(daemon);
     setOnce(daemon, once);
     std::vector<std::unique_ptr<query_worker>> workers;
@@ -136,6 +154,10 @@
 
 int main(int argc, char **argv)
 {
+    if (wantsHelp(argc, argv)) {
+        printHelp(std::cout);
+        return 0;
+    }
     daemon_state daemon;
     std::vector<Core::finding> findings;
     readSettings(argc, argv, daemon.daemonSettings, findings);
--- a/Services/ragwortcrankd/ReadSettings.cpp
+++ b/Services/ragwortcrankd/ReadSettings.cpp
@@ -12,6 +12,7 @@
 #include <cctype>
 #include <cstdlib>
 #include <limits>
+#include <ostream>
 #include <sstream>
 #include <string_view>
 
@@ -27,11 +28,13 @@
 DEFINE_int32(http_threads, 2, "threads that serve callers, 1 to 64");
 DEFINE_int32(query_threads, 2, "threads that run queries, 1 to 64");
 DEFINE_int32(operator_key_fd, -1, "file descriptor to read the operator key from; -1: RAGWORTCRANK_OPERATOR_KEY");
+DEFINE_double(trace_sample_part, 0.01, "part of the queries without a traceparent to record spans for, 0 to 1");
 DEFINE_string(log_level, "info", "debug, info, warning or error");
 
-static constexpr std::array settingNames {"vm_name",   "data_centre", "listen_address", "caller_port",
-                                          "peer_port", "store_url",   "http_threads",   "query_threads",
-                                          "peers",     "drain_limit", "log_level",      "operator_key_fd"};
+static constexpr std::array settingNames {
+    "vm_name",   "data_centre",     "listen_address",   "caller_port", "peer_port",
+    "store_url", "http_threads",    "query_threads",    "peers",       "drain_limit",
+    "log_level", "operator_key_fd", "trace_sample_part"};
 static constexpr std::int32_t mostThreads = 64;
 
 using findings_list = std::vector<Core::finding>;
@@ -45,6 +48,31 @@
     return name;
 }
 
+/// Sets one flag written as --name=value. The library's own parser would end the process at the first fault.
+static void readFlag(const std::string &argument, findings_list &findings)
+{
+    const std::size_t start = argument.find_first_not_of('-');
+    const std::size_t equals = argument.find('=');
+    if (!argument.starts_with("-") || start == std::string::npos) {
+        findings.push_back({argument, "is not a flag; flags are written --name=value"});
+        return;
+    }
+    const std::string name = argument.substr(start, equals == std::string::npos ? equals : equals - start);
+    gflags::CommandLineFlagInfo known;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &known)) {
+        findings.push_back({"--" + name, "is not a known flag; --help lists them"});
+        return;
+    }
+    if (equals == std::string::npos && known.type != "bool") {
+        findings.push_back({"--" + name, "needs a value, as in --" + name + "=VALUE"});
+        return;
+    }
+    const std::string value = equals == std::string::npos ? "true" : argument.substr(equals + 1);
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+        findings.push_back({"--" + name, "value \"" + value + "\" must be of type " + known.type});
+    }
+}
+
 /// Takes each setting that no flag gave from its environment variable.
 static void readEnvironment(findings_list &findings)
 {
@@ -54,7 +82,9 @@
             continue;
         }
         if (gflags::SetCommandLineOption(name, value).empty()) {
-            findings.push_back({environmentName(name), std::string("value \"") + value + "\" has the wrong type"});
+            findings.push_back({environmentName(name),
+                                std::string("value \"") + value + "\" must be of type "
+                                    + gflags::GetCommandLineFlagInfoOrDie(name).type});
         }
     }
 }
@@ -161,15 +191,30 @@
     }
 }
 
+bool wantsHelp(int argc, char **argv)
+{
+    return std::any_of(argv + 1, argv + argc, [](const std::string &argument) {
+        return argument == "--help" || argument == "-help" || argument == "-h";
+    });
+}
+
+void printHelp(std::ostream &stream)
+{
+    stream
+        << "ragwortcrankd: one daemon of the query tier\n\n"
+           "Flags are written --name=value. Without its flag, a setting comes from its environment variable.\n"
+           "The operator key comes from RAGWORTCRANK_OPERATOR_KEY or --operator_key_fd, never from a flag's value.\n";
+    for (const char *name : settingNames) {
+        const gflags::CommandLineFlagInfo flag = gflags::GetCommandLineFlagInfoOrDie(name);
+        stream << "\n  --" << name << "  (" << flag.type << ", default \"" << flag.default_value << "\", "
+               << environmentName(name) << ")\n      " << flag.description << '\n';
+    }
+}
+
 void readSettings(int argc, char **argv, settings &target, findings_list &findings)
 {
-    gflags::SetUsageMessage("one daemon of the query tier\n\n"
-                            "Each flag can also be given as an environment variable: RAGWORTCRANK_ and the flag's name "
-                            "in upper case.\nThe operator key comes from RAGWORTCRANK_OPERATOR_KEY or "
-                            "--operator_key_fd, never from a flag's value.");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     for (int index = 1; index < argc; ++index) {
-        findings.push_back({argv[index], "is not a flag; flags are written --name=value"});
+        readFlag(argv[index], findings);
     }
     readEnvironment(findings);
     checkNotEmpty("vm_name", FLAGS_vm_name, findings);
@@ -183,6 +228,11 @@
     constexpr std::int32_t longestDrainLimit = 3600;
     checkRange("drain_limit", FLAGS_drain_limit, 0, longestDrainLimit, findings);
     readPeers(target, findings);
+    if (!(FLAGS_trace_sample_part >= 0.0 && FLAGS_trace_sample_part <= 1.0)) {
+        findings.push_back(
+            {"--trace_sample_part", "value " + std::to_string(FLAGS_trace_sample_part) + " must be from 0 to 1"});
+    }
+    target.traceSamplePart = FLAGS_trace_sample_part;
     readLogLevel(target, findings);
     readOperatorKey(target, findings);
     target.virtualMachine = FLAGS_vm_name;
--- a/Services/ragwortcrankd/Settings.h
+++ b/Services/ragwortcrankd/Settings.h
@@ -20,5 +20,6 @@
     std::chrono::seconds drainLimit {60}; ///< How long a planned stop may take.
     int httpThreads = 2;
     int queryThreads = 2;
+    double traceSamplePart = 0.01; ///< Part of the queries without a caller's trace that spans are recorded for.
     Observability::log_level logLevel = Observability::log_level::Info;
 };
--- a/Tests/Processes/TestDaemonFailures.cpp
+++ b/Tests/Processes/TestDaemonFailures.cpp
@@ -35,6 +35,23 @@
     EXPECT_EQ(later.leastCoverage, 1.0);
 }
 
+TEST(DaemonFailures, PlannedStopCutsNoRequest)
+{
+    Processes::test_fleet fleet({});
+    Processes::caller_load load(daemonAddresses(fleet, 3), fleet.teamKey(), 4);
+    std::this_thread::sleep_for(1s);
+    fleet.daemon(1).signal(SIGTERM);
+    const std::optional<int> exitCode = fleet.daemon(1).waitForExit(20s);
+    std::this_thread::sleep_for(500ms);
+    const Processes::load_tally tally = load.stop();
+    ASSERT_TRUE(exitCode);
+    EXPECT_EQ(*exitCode, 0);
+    EXPECT_EQ(tally.count("cut"), 0U);
+    EXPECT_EQ(tally.count("answered"), tally.milliseconds.size()) << tally.reasonText();
+    EXPECT_EQ(tally.count("unknown") + tally.count("not_run"), 0U);
+    EXPECT_EQ(tally.wrongAnswers, 0U);
+}
+
 TEST(DaemonFailures, PausedDaemonCatchesUpAndUndoesNothing)
 {
     Processes::test_fleet fleet({});
