LibQuery: Count waiting shards when refusing early, and bench overload, slow-downs and truth

Change: shards that wait count as work; ordinary queries are refused when the mean shard request would need a tenth of the time remaining, lookups at 0.15, alerts at 0.4. Scenarios for overload, slow-downs and true coverage.

--- a/Benchmarks/Policy/DriverSettings.h
+++ b/Benchmarks/Policy/DriverSettings.h
@@ -15,6 +15,7 @@
     Core::duration connectionCost {std::chrono::milliseconds(1)};
     Core::duration deadline {std::chrono::seconds(1)};
     double minimumCoverage = 0.0;
+    double alertPart = 0.0; ///< Part of the queries that are alerts; the others are ordinary.
     bool idempotent = true;
     bool remembersReplicas = true; ///< False is the baseline of a random replica: each query starts knowing nothing.
 };
--- a/Benchmarks/Policy/QueryDriver.cpp
+++ b/Benchmarks/Policy/QueryDriver.cpp
@@ -3,6 +3,7 @@
 #include "LibBackend/AttemptFailure.h"
 #include "LibBackend/ReplicaEvents.h"
 #include "LibBackend/Warmth.h"
+#include "LibQuery/Attempts.h"
 #include "LibQuery/CancelledEnd.h"
 #include "LibQuery/QueryEvents.h"
 
@@ -88,6 +89,9 @@
     }
     plan.deadline = events.now() + m_settings.deadline;
     plan.minimumCoverage = m_settings.minimumCoverage;
+    const bool alert =
+        m_settings.alertPart > 0.0 && std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < m_settings.alertPart;
+    plan.priority = alert ? Configuration::priority_class::Alert : Configuration::priority_class::Ordinary;
     plan.idempotent = m_settings.idempotent;
     return plan;
 }
@@ -110,7 +114,6 @@
         Backend::applyConfiguration(*query.ownService, m_document, m_document.services.at("search"), events.now());
         learnWarmth(*query.ownService, events.now());
     }
-    firstRequests += query.state.plan.shards.size();
     carryOut(number, Query::startQuery(query.state, serviceOf(query), events.now(), m_random));
 }
 
@@ -151,6 +154,7 @@
     driven_query &query = m_queries.at(number);
     const Backend::replica_state &target = serviceOf(query).replicas[attempt.target.replica];
     ++shardRequests;
+    firstRequests += Query::isFirstAttempt(attempt.attempt) ? 1 : 0;
     const std::uint64_t key = attemptKey(number, attempt.attempt);
     m_openAttempts.insert(key);
     events.at(attempt.silentAt,
@@ -278,6 +282,7 @@
     record.latency = events.now() - query.startedAt;
     record.result = result.result;
     record.coverage = result.coverage;
+    record.alert = query.state.plan.priority == Configuration::priority_class::Alert;
     record.shardRequests = result.shardRequests;
     double whole = 0.0;
     double answered = 0.0;
--- a/Benchmarks/Policy/QueryDriver.h
+++ b/Benchmarks/Policy/QueryDriver.h
@@ -60,7 +60,7 @@
     }
 
     std::vector<query_record> records; ///< The finished queries, in the order of their ends.
-    std::uint64_t firstRequests = 0; ///< One for each shard of each query.
+    std::uint64_t firstRequests = 0; ///< One for each shard that was asked.
     std::uint64_t shardRequests = 0; ///< All that were sent.
     std::uint64_t connectFailures = 0; ///< Of those, the ones that never reached a replica.
 
--- a/Benchmarks/Policy/QueryRecord.h
+++ b/Benchmarks/Policy/QueryRecord.h
@@ -14,6 +14,7 @@
     Query::outcome result = Query::outcome::NotRun;
     double coverage = 0.0; ///< As claimed.
     double trueCoverage = 0.0; ///< By the replicas' own answers that reached the daemon.
+    bool alert = false;
     std::uint32_t shardRequests = 0;
 };
 } // namespace Bench
--- a/Benchmarks/Policy/Scenarios.h
+++ b/Benchmarks/Policy/Scenarios.h
@@ -23,4 +23,13 @@
 [[nodiscard]] std::vector<bench_row> runLeaving();
 /// Three in ten open connections fall silent at once.
 [[nodiscard]] std::vector<bench_row> runSilentConnections();
+
+/// All replicas, or those of one data centre, take five times as long for a while.
+[[nodiscard]] std::vector<bench_row> runSlowdown();
+
+/// Coverage claimed against the coverage of the right answers, under faults of every kind.
+[[nodiscard]] std::vector<bench_row> runTruth();
+
+/// Twice the capacity is offered; only the query's own part of the defence, without the teams' admission.
+[[nodiscard]] std::vector<bench_row> runQueryOverload();
 } // namespace Bench
--- a/Libraries/LibBackend/ServiceLoad.cpp
+++ b/Libraries/LibBackend/ServiceLoad.cpp
@@ -41,6 +41,6 @@
     if (load.inFlight == 0 || load.recentEnds < leastEnds) {
         return Core::duration::zero();
     }
-    return Core::fromSeconds(static_cast<double>(load.inFlight) * load.busySeconds / load.recentEnds);
+    return Core::fromSeconds(static_cast<double>(load.inFlight + load.waiting) * load.busySeconds / load.recentEnds);
 }
 } // namespace Backend
--- a/Libraries/LibQuery/FinishQuery.cpp
+++ b/Libraries/LibQuery/FinishQuery.cpp
@@ -52,6 +52,8 @@
         }
         cancelRunning(query, service, index, effects, now);
     }
+    service.load.waiting -= query.shardsWaiting;
+    query.shardsWaiting = 0;
     query.finished = true;
     query.wakeAt.reset();
     effects.wakeAt.reset();
--- a/Libraries/LibQuery/RefuseEarly.cpp
+++ b/Libraries/LibQuery/RefuseEarly.cpp
@@ -11,13 +11,13 @@
 {
     switch (priority) {
     case Configuration::priority_class::Alert:
-        return 0.5;
+        return 0.4;
     case Configuration::priority_class::Lookup:
-        return 0.25;
+        return 0.15;
     case Configuration::priority_class::Ordinary:
-        return 0.2;
+        return 0.1;
     }
-    return 0.2;
+    return 0.1;
 }
 
 bool shouldRefuse(const query_plan &plan, const Backend::service_state &service, Core::time_point now)
--- a/Libraries/LibQuery/Retries.cpp
+++ b/Libraries/LibQuery/Retries.cpp
@@ -29,10 +29,11 @@
     effects.lostShards.push_back({shardIndex, failureOf(shard)});
 }
 
-static void wait(query_state &query, std::size_t shardIndex, Core::time_point now)
+static void wait(query_state &query, Backend::service_state &service, std::size_t shardIndex, Core::time_point now)
 {
     query.shards[shardIndex].waits = true;
     ++query.shardsWaiting;
+    ++service.load.waiting;
     if (!query.retryAt) {
         query.retryAt = now + (query.plan.deadline - query.startedAt) / waitParts;
     }
@@ -57,11 +58,11 @@
     return false;
 }
 
-void waitOrGiveUp(query_state &query, const Backend::service_state &service, std::size_t shard, query_effects &effects,
+void waitOrGiveUp(query_state &query, Backend::service_state &service, std::size_t shard, query_effects &effects,
                   Core::time_point now)
 {
     if (mayServeLater(query, service, shard, now)) {
-        wait(query, shard, now);
+        wait(query, service, shard, now);
     } else {
         giveUp(query, shard, effects);
     }
@@ -149,6 +150,7 @@
         }
         shard.waits = false;
         --query.shardsWaiting;
+        --service.load.waiting;
         if (!sendRetry(query, service, index, effects, now, random)) {
             waitOrGiveUp(query, service, index, effects, now);
         }
--- a/Libraries/LibQuery/Retries.h
+++ b/Libraries/LibQuery/Retries.h
@@ -23,7 +23,7 @@
                 Core::random_engine &random);
 
 /// Lets a shard that nobody may take now wait for a replica, or gives it up if none can ever serve it.
-void waitOrGiveUp(query_state &query, const Backend::service_state &service, std::size_t shard, query_effects &effects,
+void waitOrGiveUp(query_state &query, Backend::service_state &service, std::size_t shard, query_effects &effects,
                   Core::time_point now);
 
 /// Tries the waiting shards again.
