ragwortcrankd: Exchange warmth records and claims with peers

Cause: the records and claims that the cold start depends on did not travel between daemons, so that a daemon never learned of warmth elsewhere. In a fleet whose gossip takes longer than the hand-over to reach all, two daemons whose lists differ may miss each other's claims.

--- /dev/null
+++ b/Libraries/LibPlatform/WarmthMessage.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "LibBackend/WarmthRecord.h"
+
+#include <string>
+#include <vector>
+
+namespace Platform
+{
+/// What one daemon tells a peer of the replicas of one service.
+struct warmth_message {
+    std::vector<std::string> claims; ///< Cold replicas that the sender takes itself to warm.
+    std::vector<Backend::warmth_record> records;
+};
+} // namespace Platform
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -20,6 +20,7 @@
 #include "ReadSettings.h"
 #include "Readiness.h"
 #include "StopSequence.h"
+#include "WarmthGossip.h"
 
 #include <curl/curl.h>
 
@@ -110,6 +111,8 @@
     membership_loop membership(daemon, seedSource());
     setHooks(daemon, membership);
     registerGauges(daemon, membership);
+    warmth_gossip warmth(daemon);
+    warmth.start();
     once_gate once(daemon);
     setOnce(daemon, once);
     std::vector<std::unique_ptr<query_worker>> workers;
