ragwortcrankctl: Report every wrong flag together and exit 2

Cause: the flags library ended the command at the first unknown flag with code 1, which the table of exit codes gives to refusals; reading a key from a descriptor stood twice. Change: flags are set one by one, as the daemon does, and all faults are printed; LibPlatform reads secrets for both binaries. Conclusion: code 1 now only means a refusal.

--- a/Services/ragwortcrankd/ReadSettings.cpp
+++ b/Services/ragwortcrankd/ReadSettings.cpp
@@ -1,12 +1,11 @@
 #include "ReadSettings.h"
 
+#include "LibPlatform/ReadSecret.h"
 #include "Settings.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <gflags/gflags.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -159,28 +158,10 @@
     }
 }
 
-static std::string readDescriptor(int descriptor)
-{
-    std::string text;
-    std::array<char, 256> buffer {};
-    constexpr std::size_t longestKey = 4096;
-    while (text.size() < longestKey) {
-        const ssize_t count = ::read(descriptor, buffer.data(), buffer.size());
-        if (count <= 0) {
-            break;
-        }
-        text.append(buffer.data(), static_cast<std::size_t>(count));
-    }
-    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
-        text.pop_back();
-    }
-    return text;
-}
-
 static void readOperatorKey(settings &target, findings_list &findings)
 {
     if (FLAGS_operator_key_fd >= 0) {
-        target.operatorKey = readDescriptor(FLAGS_operator_key_fd);
+        target.operatorKey = Platform::readSecret(FLAGS_operator_key_fd);
     } else if (const char *value = std::getenv("RAGWORTCRANK_OPERATOR_KEY")) {
         target.operatorKey = value;
     }
--- a/Tests/Models/configuration_adoption.pml
+++ b/Tests/Models/configuration_adoption.pml
@@ -8,9 +8,9 @@
 //
 // Guard in the model                   Function that implements it
 // only a higher number is adopted      Configuration::joinNumbers, active_configuration::adopt
-// a fresh VM is not ready              handleReadiness in ragwortcrankd
+// a fresh VM is not ready              handleReadiness
 // every listed VM has confirmed        Configuration::reportChange
-// newer incarnation replaces older     Membership's merge of member records
+// newer incarnation replaces older     Membership::mergeRecord
 
 #define VMS 3
 #define NEWEST 2
--- a/Tests/Processes/TestOperatorCommands.cpp
+++ b/Tests/Processes/TestOperatorCommands.cpp
@@ -82,6 +82,10 @@
     EXPECT_NE(invalid.output.find("/tier/colour: "), std::string::npos);
     EXPECT_EQ(run({"team", "set-share", "nobody", "0.1"}).exitCode, 2);
     EXPECT_EQ(run({"status"}, "another-operator-key").exitCode, 1);
+    const command_result flags = run({"status", "--colour=red", "--retry=often"});
+    EXPECT_EQ(flags.exitCode, 2);
+    EXPECT_NE(flags.output.find("--colour: "), std::string::npos);
+    EXPECT_NE(flags.output.find("--retry: "), std::string::npos);
     fleet.setStoreFaults({{"down", true}});
     EXPECT_EQ(run({"config", "patch", patch, "--base=2"}).exitCode, 1) << "certainly not written";
 }
--- a/Utilities/ragwortcrankctl/Main.cpp
+++ b/Utilities/ragwortcrankctl/Main.cpp
@@ -1,13 +1,13 @@
 #include "CommandGroup.h"
 #include "Commands.h"
+#include "LibPlatform/ReadSecret.h"
 #include "Print.h"
+#include "ReadFlags.h"
 #include "Session.h"
 
 #include <curl/curl.h>
 #include <gflags/gflags.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <cstdlib>
@@ -88,28 +88,10 @@
     return true;
 }
 
-static std::string readDescriptor(int descriptor)
-{
-    std::string text;
-    std::array<char, 256> buffer {};
-    constexpr std::size_t longestKey = 4096;
-    while (text.size() < longestKey) {
-        const ssize_t count = ::read(descriptor, buffer.data(), buffer.size());
-        if (count <= 0) {
-            break;
-        }
-        text.append(buffer.data(), static_cast<std::size_t>(count));
-    }
-    while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
-        text.pop_back();
-    }
-    return text;
-}
-
 static std::string readOperatorKey()
 {
     if (FLAGS_operator_key_fd >= 0) {
-        return readDescriptor(FLAGS_operator_key_fd);
+        return Platform::readSecret(FLAGS_operator_key_fd);
     }
     const char *key = std::getenv("RAGWORTCRANK_OPERATOR_KEY");
     return key == nullptr ? "" : key;
@@ -144,10 +126,18 @@
 
 int main(int argc, char **argv)
 {
-    if (argc > 1 && answerHelp({argv + 1, argv + argc})) {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (!arguments.empty() && answerHelp(arguments)) {
         return 0;
     }
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::vector<Core::finding> findings;
+    const std::vector<std::string> command = readFlags(arguments, findings);
+    for (const Core::finding &finding : findings) {
+        std::cerr << finding.path << ": " << finding.message << '\n';
+    }
+    if (!findings.empty()) {
+        return static_cast<int>(exit_code::Usage);
+    }
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    return static_cast<int>(run({argv + 1, argv + argc}));
+    return static_cast<int>(run(command));
 }
