--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -33,13 +33,9 @@
     scenario {"data-centre-out", Bench::runDataCentreOut},
     scenario {"leaving", Bench::runLeaving},
     scenario {"silent-connections", Bench::runSilentConnections},
-    scenario {"stragglers", Bench::runStragglers},
     scenario {"slowdown", Bench::runSlowdown},
     scenario {"truth", Bench::runTruth},
     scenario {"query_overload", Bench::runQueryOverload},
-    scenario {"store-outage", Bench::runStoreOutage},
-    scenario {"team-shares", Bench::runTeamShares},
-    scenario {"rollout", Bench::runRollout},
 };
 
 std::string seedsText(const Bench::bench_row &row)
--- /dev/null
+++ b/Tests/LibQuery/TestHedging.cpp
@@ -0,0 +1,102 @@
+#include "LibQuery/CancelledEnd.h"
+#include "QueryFixture.h"
+
+using namespace std::chrono_literals;
+
+struct hedging : query_fixture {
+};
+
+TEST_F(hedging, HedgeGoesToAnotherReplicaAndTheLoserIsCancelled)
+{
+    prepare(1);
+    learnLatencies();
+    const auto started = Query::startQuery(query, service, now, random);
+    ASSERT_TRUE(started.wakeAt);
+    now = *started.wakeAt;
+    const auto hedged = Query::onTimer(query, service, now, random);
+    ASSERT_EQ(hedged.sends.size(), 1U);
+    EXPECT_NE(hedged.sends[0].target.replica, started.sends[0].target.replica);
+    EXPECT_EQ(hedged.sends[0].timeRemaining, query.plan.deadline - now);
+    const auto won = Query::onAnswer(query, service, hedged.sends[0].attempt, answerFor(0), now + 5ms, random);
+    ASSERT_EQ(won.cancels.size(), 1U);
+    EXPECT_EQ(won.cancels[0].attempt, started.sends[0].attempt);
+    ASSERT_TRUE(won.finished);
+    EXPECT_EQ(service.replicas[started.sends[0].target.replica].inFlight, 1U) << "it holds its slot until it ends";
+    Query::onCancelledEnd(service, won.cancels[0], Query::cancelled_end::Stopped, now + 6ms);
+    EXPECT_EQ(service.replicas[started.sends[0].target.replica].inFlight, 0U);
+    EXPECT_EQ(service.load.inFlight, 0U);
+}
+
+TEST_F(hedging, AnswerOfACancelledAttemptIsNotMergedAgain)
+{
+    prepare(2);
+    learnLatencies();
+    const auto started = Query::startQuery(query, service, now, random);
+    now = *started.wakeAt;
+    const auto hedged = Query::onTimer(query, service, now, random);
+    ASSERT_EQ(hedged.sends.size(), 2U);
+    const auto first = hedged.sends[0];
+    Query::shard_answer answer = answerFor(first.shard);
+    answer.items.push_back({"item", 1.0});
+    static_cast<void>(Query::onAnswer(query, service, first.attempt, answer, now, random));
+    const auto late = Query::onAnswer(query, service, started.sends[first.shard].attempt, answer, now, random);
+    EXPECT_TRUE(late.answeredShards.empty());
+    EXPECT_EQ(query.items.size(), 1U);
+    EXPECT_EQ(query.shardsAnswered, 1U);
+}
+
+TEST_F(hedging, NonIdempotentRequestIsNeverHedged)
+{
+    prepare(1);
+    learnLatencies();
+    query.plan.idempotent = false;
+    const auto started = Query::startQuery(query, service, now, random);
+    EXPECT_EQ(started.wakeAt, query.plan.deadline);
+    for (; now < query.plan.deadline; now += 10ms) {
+        EXPECT_TRUE(Query::onTimer(query, service, now, random).sends.empty());
+    }
+}
+
+TEST_F(hedging, ExtraAttemptsStayWithinTheBudgetWhenEverythingIsSlow)
+{
+    std::size_t first = 0;
+    std::size_t extra = 0;
+    const double initial = Backend::extra_load_budget().tokens;
+    for (int round = 0; round < 200; ++round) {
+        prepare(25);
+        // The quantile stays as it was, so that only the budget holds the hedges back.
+        const double tokens = round == 0 ? initial : service.extraLoad.tokens;
+        service.firstLatencies = {};
+        learnLatencies();
+        service.extraLoad.tokens = tokens;
+        service.load.recentEnds = 0.0; // Nothing is refused early.
+        const auto started = Query::startQuery(query, service, now, random);
+        first += started.sends.size();
+        std::optional<Core::time_point> wakeAt = started.wakeAt;
+        std::vector<Query::send_attempt> running = started.sends;
+        while (wakeAt && *wakeAt < query.plan.deadline) {
+            now = *wakeAt;
+            const auto woken = Query::onTimer(query, service, now, random);
+            extra += woken.sends.size();
+            running.insert(running.end(), woken.sends.begin(), woken.sends.end());
+            wakeAt = woken.wakeAt;
+        }
+        now = query.plan.deadline;
+        const auto ended = Query::onTimer(query, service, now, random);
+        for (const Query::cancel_attempt &cancelled : ended.cancels) {
+            Query::onCancelledEnd(service, cancelled, Query::cancelled_end::Failed, now);
+        }
+    }
+    EXPECT_GT(extra, 0U);
+    EXPECT_LE(static_cast<double>(extra), 0.05 * static_cast<double>(first) + initial);
+}
+
+TEST_F(hedging, RetryAfterASilenceUsesAFreshConnection)
+{
+    prepare(1);
+    const auto started = Query::startQuery(query, service, now, random);
+    const auto retried =
+        Query::onFailure(query, service, started.sends[0].attempt, Backend::attempt_failure::Silent, now, random);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    EXPECT_EQ(retried.sends[0].connection, Query::connection_choice::Fresh);
+}
--- /dev/null
+++ b/Tests/LibQuery/TestRootAndBranch.cpp
@@ -0,0 +1,65 @@
+#include "QueryFixture.h"
+
+using Backend::attempt_failure;
+
+struct root_and_branch : query_fixture {
+    void ownBy(const std::vector<std::string> &peers)
+    {
+        Backend::ownership_view view;
+        for (const Query::planned_shard &shard : query.plan.shards) {
+            view.byShard[shard.name] = {false, peers};
+        }
+        Backend::applyOwnership(service, view, now);
+    }
+};
+
+TEST_F(root_and_branch, ShardsOfOneOwnerGroupGoToOnePeer)
+{
+    prepare(8);
+    ownBy({"vm-1", "vm-2", "vm-3"});
+    const auto started = Query::startQuery(query, service, now, random);
+    ASSERT_EQ(started.sends.size(), 8U);
+    for (const Query::send_attempt &send : started.sends) {
+        EXPECT_EQ(send.target.peer, started.sends[0].target.peer);
+    }
+}
+
+TEST_F(root_and_branch, AnotherOwnerTakesOverFromALostPeer)
+{
+    prepare(1);
+    ownBy({"vm-1", "vm-2"});
+    const auto started = Query::startQuery(query, service, now, random);
+    const auto retried =
+        Query::onFailure(query, service, started.sends[0].attempt, attempt_failure::ConnectionLost, now, random);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    EXPECT_NE(retried.sends[0].target.peer, started.sends[0].target.peer);
+    EXPECT_FALSE(retried.sends[0].target.peer.empty());
+}
+
+TEST_F(root_and_branch, NonIdempotentRequestIsSentAgainOnlyIfTheBranchSaysNotRun)
+{
+    for (const attempt_failure failure : {attempt_failure::ConnectionLost, attempt_failure::NotRun}) {
+        prepare(1);
+        ownBy({"vm-1", "vm-2"});
+        query.plan.idempotent = false;
+        const auto started = Query::startQuery(query, service, now, random);
+        const auto after = Query::onFailure(query, service, started.sends[0].attempt, failure, now, random);
+        EXPECT_EQ(after.sends.size(), failure == attempt_failure::NotRun ? 1U : 0U);
+        if (failure == attempt_failure::ConnectionLost) {
+            ASSERT_TRUE(after.finished);
+            EXPECT_EQ(after.finished->result, Query::outcome::Unknown);
+        } else {
+            EXPECT_NE(after.sends.at(0).target.peer, started.sends[0].target.peer);
+        }
+    }
+}
+
+TEST_F(root_and_branch, BranchNeverForwards)
+{
+    prepare(4);
+    ownBy({"vm-1", "vm-2"});
+    query.plan.ownReplicasOnly = true;
+    for (const Query::send_attempt &send : Query::startQuery(query, service, now, random).sends) {
+        EXPECT_TRUE(send.target.peer.empty());
+    }
+}
