Benchmarks: Measure the slopes that the capacity page needs

Cause: docs/CAPACITY.md has to be worked out from slopes. Change: a program that measures each role at four sizes with the very functions of the daemon, fits lines and gives the values at today's and the target's sizes; the target-size document moves where tests and benchmarks share it.

--- /dev/null
+++ b/Benchmarks/Capacity/LiveMemory.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Capacity
+{
+/// Bytes that are allocated now by operator new, as the allocator rounds them.
+[[nodiscard]] std::int64_t liveBytes();
+/// Calls of operator new since the start.
+[[nodiscard]] std::uint64_t allocationCount();
+} // namespace Capacity
--- a/Tests/LibConfiguration/TargetSizeDocument.cpp
+++ b/Benchmarks/Support/TargetSizeDocument.cpp
@@ -1,9 +1,9 @@
-#include "TargetSizeDocument.h"
+#include "Support/TargetSizeDocument.h"
 
 #include "LibConfiguration/Limits.h"
 #include "LibConfiguration/PatchId.h"
 
-namespace Tests
+namespace Bench
 {
 static constexpr std::size_t dataCentres = 4;
 static constexpr std::size_t portsPerHost = 100;
@@ -66,4 +66,4 @@
     document.services["search"] = makeService(replicas, shards);
     return document;
 }
-} // namespace Tests
+} // namespace Bench
--- a/Tests/LibConfiguration/TestValidate.cpp
+++ b/Tests/LibConfiguration/TestValidate.cpp
@@ -4,7 +4,7 @@
 #include "LibConfiguration/Limits.h"
 #include "LibConfiguration/Parse.h"
 #include "LibConfiguration/PatchRequest.h"
-#include "TargetSizeDocument.h"
+#include "Support/TargetSizeDocument.h"
 
 #include <gtest/gtest.h>
 
@@ -135,7 +135,7 @@
 
 TEST(Validate, DocumentOfTheTargetSizeFitsTheStore)
 {
-    const std::string text = Configuration::serializeDocument(Tests::targetSizeDocument(4600, 520));
+    const std::string text = Configuration::serializeDocument(Bench::targetSizeDocument(4600, 520));
     EXPECT_LE(text.size(), Configuration::mostDocumentBytes);
     const auto parsed = Configuration::parseDocument(text);
     EXPECT_TRUE(parsed.findings.empty()) << parsed.findings.front().path << ": " << parsed.findings.front().message;
