--- a/Services/ragwortcrankd/OperatorApi.cpp
+++ b/Services/ragwortcrankd/OperatorApi.cpp
@@ -5,6 +5,7 @@
 #include "DaemonState.h"
 #include "LibConfiguration/ChangeReport.h"
 #include "LibConfiguration/ConfigurationDocument.h"
+#include "LibConfiguration/PatchId.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibTeams/Authenticate.h"
 #include "NumbersInForce.h"
@@ -105,6 +106,11 @@
         responder.respond(encodeError(400, "parameters \"base\" (a number) and \"patch_id\" are required"));
         return;
     }
+    if (!Configuration::firstNumberOf(patchId->second)) {
+        responder.respond(encodeError(422, "the patch is not valid",
+                                      {{"", "patch id \"" + patchId->second + "\" does not begin with a number"}}));
+        return;
+    }
     const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
     m_writer.submit({*number, patchId->second, request.body}, [shared](const Configuration::patch_answer &answer) {
         shared->respond(encodePatchAnswer(answer));
--- a/Services/ragwortcrankd/PatchWriter.cpp
+++ b/Services/ragwortcrankd/PatchWriter.cpp
@@ -3,6 +3,7 @@
 #include "AdoptConfiguration.h"
 #include "DaemonState.h"
 #include "LibConfiguration/PatchEvents.h"
+#include "LibConfiguration/PatchId.h"
 #include "LibConfiguration/PatchTransaction.h"
 
 static constexpr std::chrono::seconds storeTimeout {2};
@@ -21,6 +22,9 @@
 
 void patch_writer::submit(Configuration::patch_request request, completion done)
 {
+    if (!Configuration::firstNumberOf(request.patchId)) {
+        request.patchId = Configuration::makePatchId(request.baseNumber, request.patchId);
+    }
     const std::scoped_lock lock(m_mutex);
     m_inbox.emplace_back(std::move(request), std::move(done));
     m_wake.notify_one();
--- a/Services/ragwortcrankd/PatchWriter.h
+++ b/Services/ragwortcrankd/PatchWriter.h
@@ -24,7 +24,8 @@
     patch_writer(const patch_writer &) = delete;
     patch_writer &operator=(const patch_writer &) = delete;
 
-    /// Hands over a patch; from any thread. The completion runs on the writer's thread.
+    /// Hands over a patch; from any thread. The completion runs on the writer's thread. A patch that the daemon makes
+    /// itself may have an id without a number, as in rollout-search-3-done; the base number is put before it.
     void submit(Configuration::patch_request request, completion done);
     void stop();
 
