LibQuery: Count the attempts that ended with an error answer

Cause: a rollout must tell a version's errors also where a retry on another replica hid them from the caller. Change: query_result.faultyAttempts. Conclusion: read by the rollout's evidence.

--- a/Libraries/LibQuery/FinishQuery.cpp
+++ b/Libraries/LibQuery/FinishQuery.cpp
@@ -67,6 +67,7 @@
     result.result = outcomeOf(query);
     result.snapshot = query.plan.snapshot;
     result.coverage = coverageOf(query);
+    result.faultyAttempts = query.faultyAttempts;
     result.shardsAnswered = query.shardsAnswered;
     result.shardsTotal = static_cast<std::uint32_t>(query.shards.size());
     for (const shard_state &shard : query.shards) {
