LibTeams: Keep room for alerts and a floor under the limit, measured at twice the capacity

With real daemons and a failing version the limit fell to one query and 283 of 1,399 queries were refused.

--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -25,6 +25,7 @@
 };
 
 constexpr std::array scenarios {
+    scenario {"admission", Bench::runAdmission},
     scenario {"stragglers", Bench::runStragglers},
     scenario {"store-outage", Bench::runStoreOutage},
     scenario {"team-shares", Bench::runTeamShares},
--- a/Benchmarks/Policy/Scenarios.h
+++ b/Benchmarks/Policy/Scenarios.h
@@ -13,6 +13,9 @@
 /// Demand of two teams moves between daemons, and one team lends its capacity and wants it back.
 [[nodiscard]] std::vector<bench_row> runTeamShares();
 
+/// Twice the load that the backend servers bear, a tenth of it alerts.
+[[nodiscard]] std::vector<bench_row> runAdmission();
+
 /// Good versions are moved in time and never taken back; bad ones are taken back whenever their fault shows.
 [[nodiscard]] std::vector<bench_row> runRollout();
 /// Replicas that restart, with and without notice, while daemons disagree on who warms them.
--- a/Libraries/LibTeams/Accounts.cpp
+++ b/Libraries/LibTeams/Accounts.cpp
@@ -61,6 +61,20 @@
     });
 }
 
+std::map<std::string, team_account> accountsSince(const std::map<std::string, team_account> &now,
+                                                  const std::map<std::string, team_account> &earlier)
+{
+    std::map<std::string, team_account> since = now;
+    for (const auto &[team, account] : earlier) {
+        team_account &left = since[team];
+        left.queries -= std::min(left.queries, account.queries);
+        left.refused -= std::min(left.refused, account.refused);
+        left.shardRequests -= std::min(left.shardRequests, account.shardRequests);
+        left.extraShardRequests -= std::min(left.extraShardRequests, account.extraShardRequests);
+    }
+    return since;
+}
+
 std::map<std::string, team_account> pageTotals(const account_page &page)
 {
     std::map<std::string, team_account> totals = page.past;
--- a/Libraries/LibTeams/Accounts.h
+++ b/Libraries/LibTeams/Accounts.h
@@ -29,6 +29,9 @@
 void putRow(account_page &page, std::uint64_t incarnation, const account_row &row);
 /// Moves the rows of daemons that are gone into the page's past.
 void foldRows(account_page &page, Core::wall_time now);
+/// Returns what was drawn since earlier totals.
+[[nodiscard]] std::map<std::string, team_account> accountsSince(const std::map<std::string, team_account> &now,
+                                                                const std::map<std::string, team_account> &earlier);
 /// Returns the totals of a page by team.
 [[nodiscard]] std::map<std::string, team_account> pageTotals(const account_page &page);
 
--- a/Libraries/LibTeams/Admission.cpp
+++ b/Libraries/LibTeams/Admission.cpp
@@ -62,6 +62,14 @@
     return std::nullopt;
 }
 
+void withdraw(team_admission &team, double cost)
+{
+    team.admittedSince = std::max(0.0, team.admittedSince - cost);
+    if (team.factor < 1.0) {
+        team.credit += cost;
+    }
+}
+
 static void smooth(double &rate, double sample, double elapsed, Core::duration timeConstant)
 {
     rate += (1.0 - std::exp(-elapsed / Core::toSeconds(timeConstant))) * (sample - rate);
--- a/Libraries/LibTeams/Admission.h
+++ b/Libraries/LibTeams/Admission.h
@@ -13,6 +13,9 @@
 /// refused last and ordinary requests first.
 [[nodiscard]] std::optional<refusal> admit(team_admission &team, Configuration::priority_class priority, double cost);
 
+/// Takes back the admission of a query that was refused afterwards for another reason.
+void withdraw(team_admission &team, double cost);
+
 /// Brings the team's rates at this daemon up to date.
 void updateRates(team_admission &team, Core::time_point now);
 
--- a/Libraries/LibTeams/Overload.cpp
+++ b/Libraries/LibTeams/Overload.cpp
@@ -12,7 +12,7 @@
 /// A window with fewer ended queries is extended.
 static constexpr std::uint32_t fewestEnded = 8;
 /// Mean used part of the allowed time above which the limit falls.
-static constexpr double highPressure = 0.4;
+static constexpr double highPressure = 0.25;
 /// Below this the limit rises fast.
 static constexpr double lowPressure = 0.15;
 static constexpr double decrease = 0.85;
@@ -20,14 +20,16 @@
 static constexpr double fastIncrease = 1.25;
 /// The limit rises only if this part of it was in use.
 static constexpr double inUse = 0.7;
-static constexpr double smallestLimit = 8.0;
+/// The limit never falls below so many of the largest queries, since few queries that are slow for reasons of their own
+/// must not shut the others out.
+static constexpr double fewestQueries = 8.0;
 static constexpr double largestLimit = 1e7;
 
 static double partOfLimit(priority_class priority)
 {
     switch (priority) {
     case priority_class::Alert:
-        return 1.5;
+        return 4.0;
     case priority_class::Lookup:
         return 1.0;
     case priority_class::Ordinary:
@@ -44,6 +46,7 @@
         return refusal {refusal_reason::Overloaded, retryAfter};
     }
     state.inFlight += cost;
+    state.largestCost = std::max(state.largestCost, cost);
     state.peakInFlight = std::max(state.peakInFlight, state.inFlight);
     return std::nullopt;
 }
@@ -69,7 +72,7 @@
     } else if (state.peakInFlight > state.limit * inUse) {
         state.limit *= pressure < lowPressure ? fastIncrease : slowIncrease;
     }
-    state.limit = std::clamp(state.limit, smallestLimit, largestLimit);
+    state.limit = std::clamp(state.limit, fewestQueries * state.largestCost, largestLimit);
     state.usedSum = {};
     state.endedCount = {};
     state.peakInFlight = state.inFlight;
--- a/Libraries/LibTeams/OverloadState.h
+++ b/Libraries/LibTeams/OverloadState.h
@@ -13,6 +13,7 @@
 
     double limit = 4096.0; ///< Shard requests that may run at once.
     double inFlight = 0.0; ///< Shard requests of the queries that run.
+    double largestCost = 0.0; ///< Shard requests of the largest query so far.
     double peakInFlight = 0.0; ///< The largest inFlight in the current window.
     std::array<double, classCount> usedSum {}; ///< Sum over ended queries of the used part of their time, by class.
     std::array<std::uint32_t, classCount> endedCount {};
--- a/Tests/LibTeams/TestAdmission.cpp
+++ b/Tests/LibTeams/TestAdmission.cpp
@@ -51,6 +51,20 @@
     EXPECT_FALSE(Teams::startLoad(state, priority_class::Alert, 10.0));
 }
 
+TEST(Overload, AFewSlowQueriesShutNoOthersOut)
+{
+    Teams::overload_state state;
+    Core::time_point now {};
+    for (int query = 0; query < 1000; ++query) {
+        ASSERT_FALSE(Teams::startLoad(state, priority_class::Ordinary, 8.0));
+        now += std::chrono::seconds(1);
+        Teams::endLoad(state, priority_class::Ordinary, 8.0, std::chrono::seconds(1), std::chrono::seconds(1), now);
+    }
+    for (int query = 0; query < 4; ++query) {
+        EXPECT_FALSE(Teams::startLoad(state, priority_class::Ordinary, 8.0));
+    }
+}
+
 TEST(Overload, LimitFallsUnderPressureAndRisesAfterIt)
 {
     Teams::overload_state state;
