ragwortcrankd: Admit by share and load, roll out by evidence, keep accounts

Cause: the daemon admitted everything, used the old version only and counted nothing. Change: admission before a query starts (429 or 503 with not_run and Retry-After), for non-idempotent requests after the registry, so that a repeat of one that ran is never told not_run; share_exchange swaps usage and rollout evidence with one peer after the other and records the end of rollouts by patches whose id is the same for one document; accounts_flusher writes one row in 5 minutes; GET /v1/operator/rollouts/{service} and /v1/operator/accounts. The closing patch was refused as invalid until its id began with the document's number; the test ClosingPatchesAreAccepted applies it.

--- a/Services/ragwortcrankd/AnswerCodec.cpp
+++ b/Services/ragwortcrankd/AnswerCodec.cpp
@@ -1,6 +1,7 @@
 #include "AnswerCodec.h"
 
 #include "LibQuery/QueryResult.h"
+#include "LibTeams/Refusal.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -65,6 +66,19 @@
     return encodeWithoutResult(statusOf(Query::outcome::Unknown), Query::outcome::Unknown, requestId, reason);
 }
 
+Platform::http_response encodeOverload(const std::string &requestId, const Teams::refusal &refused)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refused.retryAfter);
+    Platform::http_response response;
+    response.status = refused.reason == Teams::refusal_reason::OverShare ? 429 : 503;
+    response.headers["Retry-After"] = std::to_string(seconds.count());
+    response.body = json::serialize(json::object {{"outcome", "not_run"},
+                                                  {"request_id", requestId},
+                                                  {"reason", Teams::refusalText(refused.reason)},
+                                                  {"retry_after_ms", refused.retryAfter.count()}});
+    return response;
+}
+
 Platform::http_response encodeError(int status, const std::string &message, const std::vector<Core::finding> &findings)
 {
     json::object object {{"error", message}};
--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -7,7 +7,6 @@
 #include "LibConfiguration/ConfigurationDocument.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibQuery/PlanQuery.h"
-#include "LibRollout/ChooseVersion.h"
 #include "LibTeams/Authenticate.h"
 #include "OnceGate.h"
 #include "QueryObservation.h"
@@ -65,41 +64,72 @@
     }
 }
 
+/// Describes a planned query for admission.
+static admitted_query describe(const Configuration::configuration_document &document, const Query::query_plan &plan,
+                               Core::time_point now)
+{
+    admitted_query query;
+    query.team = plan.team;
+    query.service = plan.service;
+    query.route = plan.route;
+    query.priority = document.services.at(plan.service).routes.at(plan.route).priority;
+    query.cost = static_cast<double>(plan.shards.size());
+    query.startedAt = now;
+    query.deadline = plan.deadline;
+    return query;
+}
+
 void caller_api::startQuery(Query::query_request request, Platform::http_responder responder)
 {
+    const Core::time_point now = std::chrono::steady_clock::now();
     const auto document = m_daemon.configuration.current();
     const auto service = document->services.find(request.service);
-    const std::string version =
-        service == document->services.end() ? "" : Rollout::chooseVersion(service->second, 0.0, request.requestId);
-    Core::result<Query::query_plan> plan =
-        Query::planQuery(*document, request, version, std::chrono::steady_clock::now());
+    version_choice choice;
+    if (service != document->services.end()) {
+        choice = m_daemon.rollouts.choose(request.service, service->second, request.requestId);
+    }
+    Core::result<Query::query_plan> plan = Query::planQuery(*document, request, choice.version, now);
     if (!plan) {
         responder.respond(encodeRefusal(statusOf(plan.error().code), request.requestId, plan.error().message));
         return;
     }
+    admitted_query admitted = describe(*document, plan.value(), now);
+    admitted.choice = std::move(choice);
     if (plan.value().idempotent) {
         // Callers may choose the same id, so backend servers and branches see one that no other query has.
         plan.value().requestId = makeRequestId();
-        submit(std::move(request), std::move(plan.value()), std::move(responder));
+        submit(std::move(request), std::move(plan.value()), std::move(admitted), std::move(responder));
         return;
     }
-    m_daemon.once->begin(request, std::move(responder),
-                         [&](Platform::http_responder started) { submit(request, plan.value(), std::move(started)); });
+    // Admission comes after the registry: of a repeated request that has run, no refusal may say that it did not.
+    m_daemon.once->begin(request, std::move(responder), [&](Platform::http_responder started) {
+        submit(request, plan.value(), admitted, std::move(started));
+    });
 }
 
-void caller_api::submit(Query::query_request request, Query::query_plan plan, Platform::http_responder responder)
+void caller_api::submit(Query::query_request request, Query::query_plan plan, admitted_query admitted,
+                        Platform::http_responder responder)
 {
+    const auto once = plan.idempotent ? nullptr : m_daemon.once;
+    if (const auto refused = m_daemon.admission.admit(admitted)) {
+        const Platform::http_response response = encodeOverload(request.requestId, *refused);
+        if (once != nullptr) {
+            once->finish(request.requestId, response);
+        }
+        responder.respond(response);
+        return;
+    }
     // std::function needs a copyable target, so the responder is held by a shared pointer.
     const auto shared = std::make_shared<Platform::http_responder>(std::move(responder));
     query_observation observation = beginObservation(m_daemon, request);
     query_task task;
     task.request = std::move(request);
     task.plan = std::move(plan);
-    task.done = [this, observation = std::move(observation), shared,
-                 once = task.plan.idempotent ? nullptr : m_daemon.once,
+    task.done = [this, observation = std::move(observation), shared, once, admitted = std::move(admitted),
                  callersId = task.request.requestId](Query::query_result result) {
         result.requestId = callersId;
         endObservation(m_daemon, observation, result);
+        endAdmission(admitted, result);
         const Platform::http_response response = encodeResult(result);
         if (once != nullptr) {
             once->finish(callersId, response);
@@ -108,3 +138,11 @@
     };
     m_workers[m_nextWorker++ % m_workers.size()]->submit(std::move(task));
 }
+
+void caller_api::endAdmission(const admitted_query &admitted, const Query::query_result &result)
+{
+    const Core::time_point now = std::chrono::steady_clock::now();
+    m_daemon.admission.end(admitted, result, now);
+    m_daemon.rollouts.record(admitted.service, admitted.route, admitted.choice, result, now - admitted.startedAt,
+                             std::chrono::system_clock::now());
+}
--- a/Services/ragwortcrankd/CallerApi.h
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -18,9 +18,11 @@
 namespace Query
 {
 struct query_plan;
+struct query_result;
 struct query_request;
 } // namespace Query
 
+struct admitted_query;
 struct daemon_state;
 class query_worker;
 
@@ -34,7 +36,9 @@
 
 private:
     void startQuery(Query::query_request request, Platform::http_responder responder);
-    void submit(Query::query_request request, Query::query_plan plan, Platform::http_responder responder);
+    void submit(Query::query_request request, Query::query_plan plan, admitted_query admitted,
+                Platform::http_responder responder);
+    void endAdmission(const admitted_query &admitted, const Query::query_result &result);
     std::string makeRequestId();
 
     daemon_state &m_daemon;
--- a/Services/ragwortcrankd/DaemonState.h
+++ b/Services/ragwortcrankd/DaemonState.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "ActiveConfiguration.h"
+#include "AdmissionControl.h"
 #include "ControlHooks.h"
 #include "DaemonMetrics.h"
 #include "DrainControl.h"
 #include "GossipExchange.h"
 #include "LibObservability/TraceRecorder.h"
 #include "LibWire/PeerHandlers.h"
+#include "RolloutShards.h"
 #include "ServiceShards.h"
 #include "Settings.h"
 
@@ -20,6 +22,7 @@
 
 class membership_loop;
 class once_gate;
+class share_exchange;
 
 /// What the daemon's threads share. Each member guards itself.
 struct daemon_state {
@@ -29,6 +32,8 @@
     service_shards services;
     daemon_metrics metrics;
     Observability::trace_recorder traces {4096};
+    admission_control admission;
+    rollout_shards rollouts;
     control_hooks hooks; ///< Set before the threads start.
     gossip_exchange gossip;
     drain_control drain;
@@ -36,5 +41,6 @@
     Wire::peer_handlers peerHandlers;
     membership_loop *membership = nullptr; ///< Set before the threads start; lives as long as they.
     once_gate *once = nullptr; ///< Set before the peer network starts; lives as long as it.
+    share_exchange *shares = nullptr; ///< Set before the threads start; lives as long as they.
     Wire::peer_network *peers = nullptr; ///< Set before callers are served; lives as long as they are.
 };
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -1,3 +1,4 @@
+#include "AccountsFlusher.h"
 #include "AnswerCodec.h"
 #include "BranchApi.h"
 #include "CallerApi.h"
@@ -19,6 +20,7 @@
 #include "QueryWorker.h"
 #include "ReadSettings.h"
 #include "Readiness.h"
+#include "ShareExchange.h"
 #include "StopSequence.h"
 #include "WarmthGossip.h"
 
@@ -115,6 +117,12 @@
     warmth.start();
     once_gate once(daemon);
     setOnce(daemon, once);
+    share_exchange shares(daemon, seedSource());
+    daemon.shares = &shares;
+    accounts_flusher accounts(daemon);
+    daemon.hooks.accountsText = [&accounts] {
+        return accounts.text();
+    };
     std::vector<std::unique_ptr<query_worker>> workers;
     workers.reserve(static_cast<std::size_t>(daemon.daemonSettings.queryThreads));
     for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
@@ -130,6 +138,7 @@
         Observability::logEvent(log_level::Error, "listen_failed", {{"message", network.error().message}});
         return exitListenFailed;
     }
+    shares.start(writer);
     Platform::http_server_options options;
     options.address = daemon.daemonSettings.listenAddress;
     options.port = daemon.daemonSettings.callerPort;
@@ -146,11 +155,13 @@
     waitForStopSignal();
     Observability::logEvent(log_level::Info, "stopping");
     const bool nothingCut = drain(daemon, membership);
+    shares.stop();
     membership.stop();
     for (const std::unique_ptr<query_worker> &worker : workers) {
         worker->stop();
     }
     server.value()->stop();
+    accounts.stop();
     Observability::logEvent(log_level::Info, "stopped");
     return nothingCut ? 0 : exitRequestsCut;
 }
--- a/Services/ragwortcrankd/OperatorApi.cpp
+++ b/Services/ragwortcrankd/OperatorApi.cpp
@@ -51,6 +51,11 @@
         reportAccounts(std::move(responder));
         return;
     }
+    const std::string rollouts = "/v1/operator/rollouts/";
+    if (request.path.starts_with(rollouts) && request.method == "GET") {
+        reportRollout(request.path.substr(rollouts.size()), std::move(responder));
+        return;
+    }
     responder.respond(encodeError(404, "no operator request " + request.method + " " + request.path));
 }
 
@@ -96,6 +101,19 @@
     responder.respond(response);
 }
 
+void operator_api::reportRollout(const std::string &name, Platform::http_responder responder)
+{
+    const auto document = m_daemon.configuration.current();
+    const auto service = document->services.find(name);
+    std::optional<std::string> report;
+    if (service != document->services.end()) {
+        report = m_daemon.rollouts.report(name, service->second, std::chrono::system_clock::now());
+    }
+    Platform::http_response response;
+    response.body = report.value_or("");
+    responder.respond(report ? response : encodeError(404, "service \"" + name + "\" has no rollout"));
+}
+
 void operator_api::patchConfiguration(const Platform::http_request &request, Platform::http_responder responder)
 {
     const auto base = request.parameters.find("base");
--- a/Services/ragwortcrankd/PeerHandlersOf.cpp
+++ b/Services/ragwortcrankd/PeerHandlersOf.cpp
@@ -2,14 +2,15 @@
 
 #include "DaemonState.h"
 #include "MembershipLoop.h"
+#include "ShareExchange.h"
 
 #include <utility>
 
 Wire::peer_handlers peerHandlersOf(daemon_state &daemon, membership_loop &membership)
 {
     Wire::peer_handlers handlers = daemon.peerHandlers;
-    handlers.onGossip = [&membership](const Membership::gossip_message &message) {
-        return membership.onGossip(message);
+    handlers.onGossip = [&daemon, &membership](const Membership::gossip_message &message) {
+        return share_exchange::isOwn(message) ? daemon.shares->onMessage(message) : membership.onGossip(message);
     };
     handlers.onReadConfiguration = [&membership](std::uint64_t aboveNumber) {
         return membership.onReadConfiguration(aboveNumber);
--- /dev/null
+++ b/Services/ragwortcrankd/RolloutReport.cpp
@@ -0,0 +1,73 @@
+#include "LibConfiguration/ServiceSettings.h"
+#include "LibRollout/CloseRollout.h"
+#include "RolloutShard.h"
+#include "RolloutShards.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <mutex>
+
+namespace json = boost::json;
+
+static const char *stateOf(const Configuration::service_settings &service, const rollout_shard &shard,
+                           Core::wall_time now)
+{
+    const Configuration::rollout_settings &rollout = *service.rollout;
+    if (rollout.takenBack) {
+        return "taken_back";
+    }
+    if (Rollout::isClosed(service)) {
+        return "done";
+    }
+    if (shard.held.bad) {
+        return "bad";
+    }
+    return now < rollout.start ? "waiting" : "running";
+}
+
+/// Sums over the whole rollout and all routes.
+static json::object encodeCounts(const rollout_shard &shard)
+{
+    Rollout::route_counts sum;
+    for (const auto &[incarnation, daemon] : shard.held.daemons) {
+        for (const auto &[route, evidence] : daemon.routes) {
+            for (const auto &[window, counts] : evidence.windows.back()) {
+                sum.newTotal += counts.newTotal;
+                sum.errors.all += counts.errors.all;
+                sum.errors.ofNew += counts.errors.ofNew;
+                sum.slow.all += counts.slow.all;
+                sum.slow.ofNew += counts.slow.ofNew;
+            }
+        }
+    }
+    return {{"daemons", shard.held.daemons.size()}, {"new_answers", sum.newTotal}, {"errors", sum.errors.all},
+            {"new_errors", sum.errors.ofNew},       {"slow", sum.slow.all},        {"new_slow", sum.slow.ofNew}};
+}
+
+std::optional<std::string> rollout_shards::report(const std::string &name,
+                                                  const Configuration::service_settings &service, Core::wall_time now)
+{
+    if (!service.rollout) {
+        return std::nullopt;
+    }
+    rollout_shard none;
+    rollout_shard *found = find(name);
+    rollout_shard &shard = found == nullptr ? none : *found;
+    const std::scoped_lock lock(shard.mutex);
+    const Configuration::rollout_settings &rollout = *service.rollout;
+    const bool known = shard.number == rollout.number;
+    json::object report {{"service", name},
+                         {"number", rollout.number},
+                         {"from_version", rollout.fromVersion},
+                         {"to_version", rollout.toVersion},
+                         {"state", stateOf(service, known ? shard : none, now)},
+                         {"new_share", known && !Rollout::isClosed(service) ? shard.share : 0.0}};
+    if (service.version == rollout.toVersion) {
+        report["new_share"] = 1.0;
+    }
+    if (known) {
+        report["evidence"] = encodeCounts(shard);
+    }
+    return json::serialize(report);
+}
--- /dev/null
+++ b/Services/ragwortcrankd/TeamShard.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "LibTeams/TeamAccount.h"
+#include "LibTeams/TeamAdmission.h"
+
+#include <mutex>
+
+/// One team's state at this daemon, under its own lock.
+struct team_shard {
+    std::mutex mutex;
+    Teams::team_admission admission; ///< Guarded by mutex.
+    Teams::team_account account; ///< Guarded by mutex.
+};
