--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -261,6 +261,12 @@
     VERIFY(status == 200);
 }
 
+json::object test_fleet::backendCounters(const std::string &replica)
+{
+    int status = 0;
+    return call("GET", "http://" + m_replicaAddresses.at(replica) + "/runs", "", status);
+}
+
 void test_fleet::setAllBackendFaults(const json::object &faults)
 {
     for (const std::string &name : replicaNames()) {
--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -46,6 +46,8 @@
     [[nodiscard]] std::vector<std::string> replicaNames() const;
     void setBackendFaults(const std::string &replica, const boost::json::object &faults);
     void setAllBackendFaults(const boost::json::object &faults);
+    /// What one replica tells at /runs.
+    boost::json::object backendCounters(const std::string &replica);
     /// How often each request id ran, over all replicas.
     std::map<std::string, std::uint64_t> runs();
 
--- a/Tests/StandIns/BackendFaults.h
+++ b/Tests/StandIns/BackendFaults.h
@@ -14,7 +14,9 @@
     bool silent = false; ///< Requests are taken and never answered.
     bool failing = false; ///< Answers status 500.
     bool leaving = false;
-    bool cold = false;
+    bool cold = false; ///< Takes 3 times as long, and 20 times with more than one request at once.
+    bool hidesCold = false; ///< Does not report that it is cold.
+    bool crossing = false; ///< Answers carry the id of another request.
     bool shedding = false; ///< Answers not_run.
     std::set<std::string> goneSnapshots;
 };
--- a/Tests/StandIns/BackendServer.cpp
+++ b/Tests/StandIns/BackendServer.cpp
@@ -56,6 +56,8 @@
     readFlag("failing", faults.failing);
     readFlag("leaving", faults.leaving);
     readFlag("cold", faults.cold);
+    readFlag("hides_cold", faults.hidesCold);
+    readFlag("crossing", faults.crossing);
     readFlag("shedding", faults.shedding);
     if (const json::value *value = object.if_contains("service_time_us")) {
         faults.serviceTime = std::chrono::microseconds(value->to_number<std::int64_t>());
@@ -77,6 +79,7 @@
         const json::object object = json::parse(request.body).as_object();
         const std::scoped_lock lock(m_mutex);
         readFaults(object, m_faults);
+        m_mostWhileCold = object.contains("cold") ? 0 : m_mostWhileCold;
         if (const json::value *value = object.if_contains("incarnation")) {
             m_incarnation = std::string(value->as_string());
         }
@@ -116,7 +119,9 @@
         return;
     }
     if (m_faults.leaving || m_faults.shedding) {
-        responder.respond(respondWith(503, {{"not_run", true}, {"leaving", m_faults.leaving}}));
+        json::object refusal = describe();
+        refusal["not_run"] = true;
+        responder.respond(respondWith(503, refusal));
         return;
     }
     m_waiting.push_back({headerOf(request, "x-request-id"),
@@ -126,9 +131,22 @@
                          now + remaining,
                          {},
                          std::move(responder)});
+    if (m_faults.cold) {
+        m_mostWhileCold = std::max<std::uint64_t>(m_mostWhileCold, m_waiting.size() + m_running.size());
+    }
     m_wake.notify_one();
 }
 
+/// What it says of itself in answers and refusals.
+json::object backend_server::describe() const
+{
+    const double load = static_cast<double>(m_running.size() + m_waiting.size()) / m_slots;
+    return {{"incarnation", m_incarnation},
+            {"load", load},
+            {"cold", m_faults.cold && !m_faults.hidesCold},
+            {"leaving", m_faults.leaving}};
+}
+
 void backend_server::cancel(const std::string &attemptId)
 {
     const std::scoped_lock lock(m_mutex);
@@ -177,7 +195,10 @@
             continue;
         }
         constexpr int stragglerFactor = 20;
-        const int factor = draw(m_random) < m_faults.stragglerPart ? stragglerFactor : 1;
+        const bool overloaded = m_faults.cold && m_running.size() + m_waiting.size() > 0;
+        constexpr int coldFactor = 3;
+        const int usual = m_faults.cold ? coldFactor : 1;
+        const int factor = overloaded || draw(m_random) < m_faults.stragglerPart ? stragglerFactor : usual;
         job.endsAt = now + m_faults.serviceTime * factor;
         m_running.push_back(std::move(job));
         m_mostRunning = std::max<std::uint64_t>(m_mostRunning, m_running.size());
@@ -206,16 +227,12 @@
     for (const Query::result_item &item : expectedItems(job.snapshot, m_shard, job.query)) {
         items.push_back(json::object {{"id", item.id}, {"score", item.score}});
     }
-    const double load = static_cast<double>(m_running.size() + m_waiting.size()) / m_slots;
-    job.responder.respond(respondWith(200,
-                                      {{"request_id", job.requestId},
-                                       {"snapshot", job.snapshot},
-                                       {"shard", m_shard},
-                                       {"incarnation", m_incarnation},
-                                       {"load", load},
-                                       {"cold", m_faults.cold},
-                                       {"leaving", m_faults.leaving},
-                                       {"results", std::move(items)}}));
+    json::object body = describe();
+    body["request_id"] = m_faults.crossing ? "crossed-" + job.requestId : job.requestId;
+    body["snapshot"] = job.snapshot;
+    body["shard"] = m_shard;
+    body["results"] = std::move(items);
+    job.responder.respond(respondWith(200, body));
 }
 
 std::string backend_server::runsText()
@@ -225,6 +242,7 @@
     for (const auto &[requestId, count] : m_runs) {
         runs[requestId] = count;
     }
-    return json::serialize(json::object {{"runs", std::move(runs)}, {"most_running", m_mostRunning}});
+    return json::serialize(json::object {
+        {"runs", std::move(runs)}, {"most_running", m_mostRunning}, {"most_while_cold", m_mostWhileCold}});
 }
 } // namespace StandIns
--- a/Tests/StandIns/BackendServer.h
+++ b/Tests/StandIns/BackendServer.h
@@ -6,6 +6,8 @@
 #include "StandIns/BackendFaults.h"
 #include "StandIns/BackendJob.h"
 
+#include <boost/json/object.hpp>
+
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -22,7 +24,8 @@
 namespace StandIns
 {
 /// A stand-in for one replica: slots, a queue, deadlines, cancellation, cold start, and faults set by POST /faults.
-/// GET /runs tells how often each request id was run.
+/// GET /runs tells how often each request id was run and how many
+/// requests it held at once while it was cold.
 class backend_server
 {
 public:
@@ -39,6 +42,7 @@
     void runJobs();
     void startJobs(Core::time_point now);
     void finishJobs(Core::time_point now);
+    [[nodiscard]] boost::json::object describe() const;
     void answer(backend_job &job);
     std::string runsText();
 
@@ -54,6 +58,7 @@
     std::vector<backend_job> m_silent; ///< Never answered; kept so that their connections stay open.
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_mostRunning = 0;
+    std::uint64_t m_mostWhileCold = 0; ///< Requests held at once since it was last told to be cold.
     bool m_stopping = false;
     std::thread m_thread;
 };
