LibMembership: Bound gossip at the target's size, prove it and the planned stop

Cause: at 590 daemons the digests of 300 entries took 9.2 KB/s without other packages' state; a fresh VM passed on every record as news and the busiest daemon came to 12.5 KB/s. Change: digests of 260 entries, a byte budget for other packages' state, no passing on by new daemons, watchers by region, the leaving news given eight periods to spread. Ruled out: 160 entries (205 false deaths).

--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -37,6 +37,7 @@
     scenario {"slowdown", Bench::runSlowdown},
     scenario {"truth", Bench::runTruth},
     scenario {"query_overload", Bench::runQueryOverload},
+    scenario {"membership", Bench::runMembership},
 };
 
 std::string seedsText(const Bench::bench_row &row)
--- a/Benchmarks/Policy/Scenarios.h
+++ b/Benchmarks/Policy/Scenarios.h
@@ -35,4 +35,7 @@
 
 /// Twice the capacity is offered; only the query's own part of the defence, without the teams' admission.
 [[nodiscard]] std::vector<bench_row> runQueryOverload();
+
+/// Membership and configuration of 590 daemons: losses, slow members, parted regions, replaced VMs.
+[[nodiscard]] std::vector<bench_row> runMembership();
 } // namespace Bench
--- a/Libraries/LibMembership/Gossip.cpp
+++ b/Libraries/LibMembership/Gossip.cpp
@@ -172,17 +172,18 @@
     return difference > 0 ? known + static_cast<std::uint64_t>(difference) : known;
 }
 
-static void mergeEntry(member_table &table, const digest_entry &entry, std::uint64_t newest,
-                       const membership_settings &settings, Core::time_point now)
+static void mergeEntry(member_table &table, const digest_entry &entry, std::uint64_t newest, Core::time_point now)
 {
-    const std::string &name = table.namesById.at(entry.id);
-    member_record record = table.members.at(name).record;
-    record.heartbeat = widenHeartbeat(record.heartbeat, entry.heartbeat);
-    record.leaving = record.leaving || entry.leaving;
+    member_state &member = table.members.at(table.namesById.at(entry.id));
+    const std::uint64_t heartbeat = widenHeartbeat(member.record.heartbeat, entry.heartbeat);
+    if (heartbeat > member.record.heartbeat) {
+        member.record.heartbeat = heartbeat;
+        member.advancedAt = now;
+    }
+    member.record.leaving = member.record.leaving || entry.leaving;
     if (entry.lag != unknownLag && newest >= entry.lag) {
-        record.configurationNumber = std::max(record.configurationNumber, newest - entry.lag);
+        member.record.configurationNumber = std::max(member.record.configurationNumber, newest - entry.lag);
     }
-    mergeRecord(table, record, settings, now);
 }
 
 /// Merges everything that a message carries and returns the identifiers that this daemon lacks.
@@ -197,7 +198,7 @@
     std::vector<std::uint32_t> lacking;
     for (const digest_entry &entry : message.digest) {
         if (table.namesById.contains(entry.id)) {
-            mergeEntry(table, entry, message.newestNumber, settings, now);
+            mergeEntry(table, entry, message.newestNumber, now);
         } else if (entry.id != own && lacking.size() < settings.mostWantedRecords) {
             lacking.push_back(entry.id);
         }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -1,5 +1,8 @@
 #include "LibMembership/Membership.h"
 
+#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibConfiguration/WatchCandidate.h"
+#include "LibConfiguration/WatchPlan.h"
 #include "LibMembership/MemberTable.h"
 #include "LibMembership/MembershipSettings.h"
 #include "LibMembership/RendezvousWeight.h"
@@ -63,7 +66,9 @@
     if (found != table.members.end()) {
         table.namesById.erase(recordId(record.name, found->second.record.incarnation));
     }
-    table.members[record.name] = {record, now, settings.recordSends};
+    // To a new daemon everything is new, but it is no news to the others.
+    const bool isNew = table.round < static_cast<std::uint64_t>(settings.quickRounds);
+    table.members[record.name] = {record, now, isNew ? 0 : settings.recordSends};
     table.namesById[recordId(record.name, record.incarnation)] = record.name;
     return true;
 }
@@ -169,17 +174,36 @@
     return live;
 }
 
-std::size_t watchRank(const member_table &table, const membership_settings &settings, Core::time_point now)
+static std::string regionOf(const Configuration::configuration_document &document, const std::string &dataCentre)
+{
+    const auto found = document.dataCentres.find(dataCentre);
+    return found == document.dataCentres.end() ? dataCentre : found->second.region;
+}
+
+std::size_t watchRank(const member_table &table, const membership_settings &settings,
+                      const Configuration::configuration_document &document, Core::time_point now)
 {
     const std::uint64_t key = hashName("configuration watch");
-    const std::uint64_t own = rendezvousWeight(key, hashName(table.self.name));
-    std::size_t rank = 0;
+    std::vector<std::pair<std::uint64_t, Configuration::watch_candidate>> weighted;
     for (const member_record *member : liveMembers(table, settings, now)) {
-        if (member != &table.self && !member->leaving && rendezvousWeight(key, hashName(member->name)) > own) {
-            ++rank;
+        if (!member->leaving) {
+            weighted.emplace_back(
+                rendezvousWeight(key, hashName(member->name)),
+                Configuration::watch_candidate {member->name, regionOf(document, member->dataCentre)});
         }
     }
-    return rank;
+    std::sort(weighted.begin(), weighted.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<Configuration::watch_candidate> ranked;
+    ranked.reserve(weighted.size());
+    for (auto &[weight, candidate] : weighted) {
+        ranked.push_back(std::move(candidate));
+    }
+    const auto order = Configuration::watchOrder(ranked);
+    const auto own = std::find_if(order.begin(), order.end(), [&](const Configuration::watch_candidate &candidate) {
+        return candidate.virtualMachine == table.self.name;
+    });
+    return static_cast<std::size_t>(own - order.begin());
 }
 
 bool isIsolated(const member_table &table, const membership_settings &settings, Core::time_point now)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -8,6 +8,11 @@
 #include <string>
 #include <vector>
 
+namespace Configuration
+{
+struct configuration_document;
+}
+
 /// Who is in the fleet, by this daemon's own knowledge. Pure functions over member_table.
 namespace Membership
 {
@@ -56,9 +61,9 @@
 [[nodiscard]] std::vector<const member_record *> liveMembers(const member_table &table,
                                                              const membership_settings &settings, Core::time_point now);
 
-/// This daemon's place among the live members that may watch the store, 0 the first.
+/// This daemon's place among the live members that may watch the store, 0 the first; each region has one in front.
 [[nodiscard]] std::size_t watchRank(const member_table &table, const membership_settings &settings,
-                                    Core::time_point now);
+                                    const Configuration::configuration_document &document, Core::time_point now);
 
 /// Whether neither the store nor any peer was heard for long.
 [[nodiscard]] bool isIsolated(const member_table &table, const membership_settings &settings, Core::time_point now);
--- a/Libraries/LibMembership/MembershipSettings.h
+++ b/Libraries/LibMembership/MembershipSettings.h
@@ -15,7 +15,8 @@
     int deadPeriods = 20; ///< Periods without a new heartbeat until a member owns nothing.
     std::chrono::minutes forgetAfter {150}; ///< Longer than regions are expected to lose each other.
     std::chrono::seconds isolatedAfter {8}; ///< Without the store and any peer for so long, a daemon is isolated.
-    std::size_t mostDigestEntries = 300;
+    std::size_t mostDigestEntries = 260;
+    std::size_t blobBudget = 400; ///< Bytes of other packages' state in one message.
     std::size_t mostNewRecords = 48; ///< Whole records in one message that nobody asked for.
     std::size_t mostWantedRecords = 150; ///< Whole records asked for in one message.
     int quickRounds = 10; ///< A new daemon's first rounds, which follow one another in the shortest period.
--- a/Services/ragwortcrankd/MembershipLoop.cpp
+++ b/Services/ragwortcrankd/MembershipLoop.cpp
@@ -24,8 +24,6 @@
 static constexpr std::chrono::seconds pauseBound {1};
 static constexpr std::chrono::milliseconds secondAnnouncement {700};
 static constexpr std::chrono::milliseconds settlingMargin {200};
-/// Bytes of other packages' state in one message.
-static constexpr std::size_t blobBudget = 1500;
 
 static Core::time_point clockNow()
 {
@@ -128,7 +126,7 @@
         targets = Membership::chooseTargets(m_table, m_settings, now, m_random);
         m_nextRound = now + Membership::roundInterval(m_table, m_settings);
     }
-    message.blobs = m_daemon.gossip.produce(blobBudget);
+    message.blobs = m_daemon.gossip.produce(m_settings.blobBudget);
     for (const std::string &target : targets) {
         send(target, message);
     }
@@ -166,7 +164,7 @@
         reply = Membership::onGossip(m_table, message, m_settings, clockNow());
     }
     if (!message.blobs.empty()) {
-        reply.blobs = m_daemon.gossip.produce(blobBudget);
+        reply.blobs = m_daemon.gossip.produce(m_settings.blobBudget);
     }
     return reply;
 }
@@ -325,8 +323,9 @@
 
 std::size_t membership_loop::watchRank()
 {
+    const auto document = m_daemon.configuration.current();
     const std::scoped_lock lock(m_mutex);
-    return Membership::watchRank(m_table, m_settings, clockNow());
+    return Membership::watchRank(m_table, m_settings, *document, clockNow());
 }
 
 bool membership_loop::isIsolated()
@@ -340,6 +339,13 @@
     return clockNow() >= m_settledAt.load();
 }
 
+Core::duration membership_loop::spreadTime()
+{
+    constexpr int periodsToSpread = 8;
+    const std::scoped_lock lock(m_mutex);
+    return periodsToSpread * Membership::gossipPeriod(m_table, m_settings);
+}
+
 bool membership_loop::isLeaving()
 {
     const std::scoped_lock lock(m_mutex);
--- a/Services/ragwortcrankd/MembershipLoop.h
+++ b/Services/ragwortcrankd/MembershipLoop.h
@@ -53,6 +53,8 @@
     std::size_t watchRank();
     bool isIsolated();
     bool isLeaving();
+    /// How long news of this daemon needs to reach every daemon that answers /v1/entries.
+    Core::duration spreadTime();
     /// Whether the first ownership is old enough for this daemon to warm replicas, which a fresh fleet must wait for.
     bool isSettled() const;
 
--- a/Services/ragwortcrankd/StopSequence.cpp
+++ b/Services/ragwortcrankd/StopSequence.cpp
@@ -9,8 +9,6 @@
 #include <csignal>
 #include <ctime>
 
-/// How long the news that this daemon leaves needs to reach every daemon that answers /v1/entries.
-static constexpr std::chrono::seconds newsSpread {2};
 static constexpr std::chrono::milliseconds quietTime {300};
 static constexpr std::chrono::milliseconds signalCheck {50};
 
@@ -52,7 +50,7 @@
     const Core::time_point started = std::chrono::steady_clock::now();
     const Core::time_point limit = started + daemon.daemonSettings.drainLimit;
     const Core::duration timeToLive = daemon.configuration.current()->tier.entryTimeToLive;
-    const Core::time_point unknownToCallers = started + timeToLive + newsSpread;
+    const Core::time_point unknownToCallers = started + timeToLive + membership.spreadTime();
     while (std::chrono::steady_clock::now() < limit) {
         if (std::chrono::steady_clock::now() >= unknownToCallers && daemon.drain.isQuiet(quietTime)) {
             return true;
