--- a/Libraries/LibTeams/UsageCodec.cpp
+++ b/Libraries/LibTeams/UsageCodec.cpp
@@ -69,6 +69,13 @@
     return value;
 }
 
+/// Sums of plausible values stay finite however often they are merged.
+static bool isPlausible(double value)
+{
+    constexpr double largestValue = 1e15;
+    return std::isfinite(value) && std::abs(value) <= largestValue;
+}
+
 static bool takeSums(std::string_view &text, std::uint32_t count, usage_sums &part)
 {
     constexpr std::size_t entryBytes = teamKeyBytes + rateBytes + rateBytes;
@@ -80,7 +87,7 @@
         team_rates &rates = part.sums[key];
         rates.demand = unpackRate(take(text, rateBytes));
         rates.admitted = unpackRate(take(text, rateBytes));
-        if (!std::isfinite(rates.demand) || !std::isfinite(rates.admitted)) {
+        if (!isPlausible(rates.demand) || !isPlausible(rates.admitted)) {
             return false;
         }
     }
@@ -98,7 +105,7 @@
         usage_sums &part = message[take(text, wordBytes)];
         part.weight = std::bit_cast<float>(take(text, wordBytes));
         const std::uint32_t count = take(text, wordBytes);
-        if (!std::isfinite(part.weight) || part.weight < 0.0 || !takeSums(text, count, part)) {
+        if (!isPlausible(part.weight) || part.weight < 0.0 || !takeSums(text, count, part)) {
             return std::nullopt;
         }
     }
