ragwortcrankd: Record a span for each shard request, branch call and branch

Cause: only the query itself had a span, every attempt and branch carried the query's own traceparent, and no interface served the spans. Change: a query whose trace is sampled keeps its open spans in query_trace; each attempt and each branch call has a traceparent of its own, and a branch hangs its attempts under its own span. A cancelled attempt's span ends when its call ends. GET /v1/operator/traces serves the latest spans. Before: 1 span a query, at the root. After: one a hop. Traces.SampledQueryLeavesASpanForEachHop follows three queries through three daemons to the traceparent headers that the stand-in backend servers received; the headers are as many different ones as there are spans of shard requests. Planted: a branch call that passes on the query's own traceparent; the test then finds the branch under the query's span and fails. Conclusion: a trace shows where a query's time went, across daemons.

--- a/Services/ragwortcrankd/CancelledCall.h
+++ b/Services/ragwortcrankd/CancelledCall.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "LibQuery/CancelAttempt.h"
+#include "OpenSpan.h"
+
+#include <memory>
 
 struct service_shard;
 
@@ -8,4 +11,5 @@
 struct cancelled_call {
     service_shard *service = nullptr;
     Query::cancel_attempt attempt;
+    std::unique_ptr<open_span> span; ///< Null: not traced.
 };
--- a/Services/ragwortcrankd/OperatorApi.cpp
+++ b/Services/ragwortcrankd/OperatorApi.cpp
@@ -51,6 +51,10 @@
         reportAccounts(std::move(responder));
         return;
     }
+    if (request.path == "/v1/operator/traces" && request.method == "GET") {
+        reportTraces(std::move(responder));
+        return;
+    }
     const std::string rollouts = "/v1/operator/rollouts/";
     if (request.path.starts_with(rollouts) && request.method == "GET") {
         reportRollout(request.path.substr(rollouts.size()), std::move(responder));
@@ -101,6 +105,13 @@
     responder.respond(response);
 }
 
+void operator_api::reportTraces(Platform::http_responder responder)
+{
+    Platform::http_response response;
+    response.body = m_daemon.traces.toJson();
+    responder.respond(response);
+}
+
 void operator_api::reportRollout(const std::string &name, Platform::http_responder responder)
 {
     const auto document = m_daemon.configuration.current();
--- a/Services/ragwortcrankd/OperatorApi.h
+++ b/Services/ragwortcrankd/OperatorApi.h
@@ -24,6 +24,7 @@
     void readConfiguration(Platform::http_responder responder);
     void reportChange(const std::string &numberText, Platform::http_responder responder);
     void reportAccounts(Platform::http_responder responder);
+    void reportTraces(Platform::http_responder responder);
     void reportRollout(const std::string &name, Platform::http_responder responder);
     void patchConfiguration(const Platform::http_request &request, Platform::http_responder responder);
 
--- /dev/null
+++ b/Services/ragwortcrankd/QueryTrace.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "LibCore/RandomEngine.h"
+#include "OpenSpan.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Query
+{
+struct send_attempt;
+}
+
+struct query_task;
+struct running_query;
+
+/// The spans of a query whose trace is sampled. Other queries have none, so that they pay nothing for tracing.
+struct query_trace {
+    Observability::trace_context parent; ///< Shard requests and branch calls hang under it.
+    std::optional<open_span> branch; ///< For a branch: its own span.
+    std::map<std::uint64_t, open_span> shardRequests; ///< By attempt; those that have not ended.
+};
+
+/// Starts the trace of a query or a branch; nothing if it is not sampled.
+[[nodiscard]] std::unique_ptr<query_trace> beginTrace(const query_task &task, Core::random_engine &random);
+
+/// Starts the span of a request to a replica and returns the traceparent to send with it.
+[[nodiscard]] std::string beginShardRequest(running_query &running, const Query::send_attempt &attempt,
+                                            Core::random_engine &random);
+
+/// Takes the span of a request to a replica out of the trace; null if the query is not traced.
+[[nodiscard]] std::unique_ptr<open_span> takeShardRequest(running_query &running, std::uint64_t attempt);
+
+/// Starts the span of a branch call at the root; null if the query is not traced.
+[[nodiscard]] std::unique_ptr<open_span> beginBranchCall(const running_query &running, const std::string &peer,
+                                                         std::size_t shards, Core::random_engine &random);
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -7,6 +7,7 @@
 #include "LibPlatform/HttpCall.h"
 #include "LibPlatform/ShardCall.h"
 #include "LibQuery/CancelledEnd.h"
+#include "LibQuery/Outcome.h"
 #include "LibQuery/PlanQuery.h"
 #include "LibQuery/QueryEvents.h"
 #include "LibWire/BranchSummary.h"
@@ -116,6 +117,7 @@
     running->service = service;
     running->state.plan = task.plan;
     running->attemptPrefix = task.plan.requestId + "." + m_attemptTag + "." + std::to_string(number) + ".";
+    running->trace = beginTrace(task, m_random);
     running->task = std::move(task);
     running_query &query = *running;
     m_queries[number] = std::move(running);
@@ -196,6 +198,9 @@
     m_queries.erase(query);
     if (ended->task.branch) {
         ended->task.branch->send(std::move(ended->unsent));
+        if (ended->trace != nullptr) {
+            endSpan(m_daemon.traces, std::move(*ended->trace->branch), Query::outcomeName(result.result));
+        }
         Wire::branch_summary summary;
         summary.shardRequests = result.shardRequests;
         ended->task.branch->end(summary);
@@ -215,7 +220,6 @@
     call.attemptId = running.attemptPrefix + std::to_string(attempt.attempt);
     call.snapshot = running.state.plan.snapshot;
     call.text = running.task.request.text;
-    call.traceParent = running.task.request.traceParent;
     call.timeRemaining = attempt.timeRemaining;
     call.idempotent = running.state.plan.idempotent;
     return call;
@@ -268,7 +272,10 @@
 void query_worker::sendToReplica(std::uint64_t query, running_query &running, const Query::send_attempt &attempt,
                                  std::string address, std::optional<Core::duration> oldestConnection)
 {
-    Platform::http_call call = Platform::encodeShardCall(makeCall(running, attempt, std::move(address)));
+    Platform::shard_call shardCall = makeCall(running, attempt, std::move(address));
+    shardCall.traceParent =
+        running.trace == nullptr ? running.task.request.traceParent : beginShardRequest(running, attempt, m_random);
+    Platform::http_call call = Platform::encodeShardCall(shardCall);
     call.timeout = std::min<Core::duration>(attempt.timeRemaining, attempt.silentAt - std::chrono::steady_clock::now());
     call.oldestConnection = oldestConnection;
     if (attempt.connection == Query::connection_choice::Fresh) {
@@ -283,7 +290,7 @@
 /// Asks the replica to stop. The call itself goes on, so that its connection can be kept when the end arrives.
 void query_worker::cancel(std::uint64_t query, running_query &running, const Query::cancel_attempt &attempt)
 {
-    m_cancelled[{query, attempt.attempt}] = {running.service, attempt};
+    m_cancelled[{query, attempt.attempt}] = {running.service, attempt, takeShardRequest(running, attempt.attempt)};
     if (!attempt.target.peer.empty()) {
         return; // A branch is dropped when none of its shards is wanted any more.
     }
@@ -311,8 +318,12 @@
     if (found == m_cancelled.end()) {
         return false;
     }
-    const cancelled_call ended = std::move(found->second);
+    cancelled_call ended = std::move(found->second);
     m_cancelled.erase(found);
+    if (ended.span != nullptr) {
+        ended.span->span.tags.push_back({"cancelled", "true"});
+        endSpan(m_daemon.traces, std::move(*ended.span), outcomeName(end));
+    }
     const std::scoped_lock lock(ended.service->mutex);
     Query::onCancelledEnd(ended.service->state, ended.attempt, kindOf(end), std::chrono::steady_clock::now());
     return true;
@@ -328,6 +339,9 @@
         return;
     }
     running_query &running = *found->second;
+    if (std::unique_ptr<open_span> span = takeShardRequest(running, attempt)) {
+        endSpan(m_daemon.traces, std::move(*span), outcomeName(end));
+    }
     const Core::time_point now = std::chrono::steady_clock::now();
     if (const auto *failed = std::get_if<Backend::failed_attempt>(&end)) {
         std::unique_lock lock(running.service->mutex);
--- a/Services/ragwortcrankd/QueryWorkerBranches.cpp
+++ b/Services/ragwortcrankd/QueryWorkerBranches.cpp
@@ -1,5 +1,6 @@
 #include "DaemonState.h"
 #include "LibConfiguration/ConfigurationDocument.h"
+#include "LibObservability/TraceParent.h"
 #include "LibQuery/QueryEvents.h"
 #include "LibWire/BranchRequest.h"
 #include "LibWire/BranchSummary.h"
@@ -52,7 +53,11 @@
         });
         return;
     }
+    branch.span = beginBranchCall(running, peer, sends.size(), m_random);
     Wire::branch_request request = makeRequest(running, sends);
+    if (branch.span != nullptr) {
+        request.traceParent = Observability::formatTraceParent(branch.span->span.context);
+    }
     request.configurationNumber = m_daemon.configuration.current()->number;
     branch.call = m_daemon.peers->startBranch(
         address, std::move(request),
@@ -121,8 +126,11 @@
     if (found == m_branches.end()) {
         return;
     }
-    const open_branch ended = std::move(found->second);
+    open_branch ended = std::move(found->second);
     forgetBranch(number);
+    if (ended.span != nullptr) {
+        endSpan(m_daemon.traces, std::move(*ended.span), end ? "ended" : end.error().message);
+    }
     for (const auto &[shard, attempt] : ended.attempts) {
         endAttempt(ended.query, attempt, Backend::failed_attempt(failureOf(end)));
     }
--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -166,7 +166,7 @@
     VERIFY(status == 200);
 }
 
-json::object test_fleet::call(const std::string &method, const std::string &url, const std::string &body, int &status)
+json::value test_fleet::send(const std::string &method, const std::string &url, const std::string &body, int &status)
 {
     Platform::http_call request;
     request.method = method;
@@ -178,8 +178,22 @@
     const Platform::call_outcome outcome = client.send(std::move(request));
     status = outcome.failure == Platform::call_failure::None ? outcome.response.status : 0;
     boost::system::error_code error;
-    const json::value value = json::parse(outcome.response.body, error);
-    return !error && value.is_object() ? value.get_object() : json::object();
+    json::value value = json::parse(outcome.response.body, error);
+    return error ? json::value() : value;
+}
+
+json::object test_fleet::call(const std::string &method, const std::string &url, const std::string &body, int &status)
+{
+    const json::value value = send(method, url, body, status);
+    return value.is_object() ? value.get_object() : json::object();
+}
+
+json::array test_fleet::spans(int daemon)
+{
+    int status = 0;
+    const json::value value = send("GET", "http://" + daemonAddress(daemon) + "/v1/operator/traces", "", status);
+    VERIFY(status == 200);
+    return value.as_array();
 }
 
 bool test_fleet::waitUntilReady(int daemon)
--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -3,6 +3,7 @@
 #include "LibCore/Time.h"
 #include "Processes/FleetOptions.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 #include <cstdint>
@@ -51,12 +52,16 @@
     /// How often each request id ran, over all replicas.
     std::map<std::string, std::uint64_t> runs();
 
+    /// The spans that one daemon keeps, in OpenTracing's JSON form.
+    boost::json::array spans(int daemon);
+
     [[nodiscard]] const boost::json::object &document() const;
     [[nodiscard]] std::string teamKey() const;
 
 private:
     void makeDocument(const fleet_options &options);
     void startDaemon(int daemon);
+    boost::json::value send(const std::string &method, const std::string &url, const std::string &body, int &status);
     boost::json::object call(const std::string &method, const std::string &url, const std::string &body, int &status);
 
     fleet_options m_options;
--- a/Tests/StandIns/BackendServer.cpp
+++ b/Tests/StandIns/BackendServer.cpp
@@ -114,6 +114,10 @@
     const json::object body = json::parse(request.body).as_object();
     const Core::time_point now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
+    const std::string traceParent = headerOf(request, "traceparent");
+    if (traceParent.ends_with("-01")) {
+        m_traceParents.push_back(traceParent);
+    }
     if (m_faults.goneSnapshots.contains(snapshot)) {
         responder.respond(respondWith(409, {{"snapshot_gone", true}}));
         return;
@@ -242,7 +246,9 @@
     for (const auto &[requestId, count] : m_runs) {
         runs[requestId] = count;
     }
-    return json::serialize(json::object {
-        {"runs", std::move(runs)}, {"most_running", m_mostRunning}, {"most_while_cold", m_mostWhileCold}});
+    return json::serialize(json::object {{"runs", std::move(runs)},
+                                         {"trace_parents", json::array(m_traceParents.begin(), m_traceParents.end())},
+                                         {"most_running", m_mostRunning},
+                                         {"most_while_cold", m_mostWhileCold}});
 }
 } // namespace StandIns
