Benchmarks: Measure what the exchange of shares sends with its envelopes

Cause: the budget of 10 KB/s holds for all control together, and the exchange of shares counted its payload only. Change: a row with envelopes and headers.

--- a/Benchmarks/Capacity/MeasureExchanges.cpp
+++ b/Benchmarks/Capacity/MeasureExchanges.cpp
@@ -3,8 +3,10 @@
 #include "LibBackend/ServiceState.h"
 #include "LibBackend/Warmth.h"
 #include "LibBackend/WarmthRecord.h"
+#include "LibMembership/GossipMessage.h"
 #include "LibTeams/UsageCodec.h"
 #include "LibTeams/UsageExchange.h"
+#include "LibWire/GossipSize.h"
 #include "Measures.h"
 #include "ProcessorTime.h"
 #include "Support/TargetSizeDocument.h"
@@ -27,6 +29,7 @@
 {
     measurement bytes {"shares", "one message of usage", "bytes", "teams", {}, {}, 50, 5};
     measurement time {"shares", "split, encode, decode and merge", "us", "teams", {}, {}, 50, 5};
+    measurement rate {"shares", "sent by a daemon, with envelopes and headers", "bytes/s", "teams", {}, {}, 50, 5};
     measurement period {"shares", "time between messages of a daemon", "s", "teams", {}, {}, 50, 5};
     for (const std::size_t teams : {5U, 10U, 25U, 50U}) {
         const auto rates = makeRates(teams);
@@ -38,6 +41,12 @@
         const std::string text = Teams::encodeUsage(Teams::splitUsage(first));
         bytes.values.push_back(static_cast<double>(text.size()));
         period.values.push_back(Core::toSeconds(Teams::usageInterval(text.size())));
+        Membership::gossip_message message;
+        message.sender = "vm-590";
+        message.blobs.push_back({"share", text});
+        const Membership::gossip_message reply {"vm-589", 0, 0, {}, {}, {}, {}};
+        rate.values.push_back(static_cast<double>(Wire::gossipSize(message) + Wire::gossipSize(reply))
+                              / period.values.back());
         const Core::duration each = measureRuns(50, [&] {
             const auto received = Teams::decodeUsage(Teams::encodeUsage(Teams::splitUsage(first)));
             Teams::mergeUsage(second, *received, now);
@@ -45,11 +54,11 @@
             Teams::mergeUsage(first, *back, now);
         });
         time.values.push_back(Core::toMilliseconds(each) * 500.0); // Two messages a run, in microseconds.
-        for (measurement *one : {&bytes, &time, &period}) {
+        for (measurement *one : {&bytes, &time, &rate, &period}) {
             one->sizes.push_back(static_cast<double>(teams));
         }
     }
-    return {bytes, time, period};
+    return {bytes, time, rate, period};
 }
 
 static std::vector<measurement> measureWarmth()
