LibBackend: Bring a replica back that left and restarted under the same settings

Cause: only answers to work tell of a new incarnation, and a replica that said it is leaving gets no work, so that nobody asked its successor until the settings changed. Change: the daemon that warms the replica asks for its report every 5 s by GET /v1/health, which runs nothing. Decided by Backend::takeHealthRequests, carried out on the thread that runs the HTTP client. Ruled out: trying real work now and then, which an operator would see at a leaving server.

--- /dev/null
+++ b/Libraries/LibBackend/Health.cpp
@@ -0,0 +1,42 @@
+#include "LibBackend/Health.h"
+
+#include "LibBackend/Ownership.h"
+#include "LibBackend/ServiceState.h"
+#include "LibBackend/Warmth.h"
+
+namespace Backend
+{
+static bool needsHealthRequest(const service_state &service, const replica_state &replica, Core::time_point now)
+{
+    if (!replica.reportedLeaving || replica.removed || replica.dataCentreOut || replica.settings.leaving) {
+        return false;
+    }
+    return now - replica.healthAskedAt >= healthPeriod && mayWarm(service, replica, now);
+}
+
+std::vector<health_request> takeHealthRequests(service_state &service, Core::time_point now)
+{
+    std::vector<health_request> due;
+    for (replica_state &replica : service.replicas) {
+        if (needsHealthRequest(service, replica, now)) {
+            replica.healthAskedAt = now;
+            due.push_back({replica.name, replica.settings.address});
+        }
+    }
+    return due;
+}
+
+void recordHealth(service_state &service, const health_request &request, const replica_report &report,
+                  Core::time_point now)
+{
+    const auto found = service.byName.find(request.replica);
+    if (found == service.byName.end()) {
+        return;
+    }
+    replica_state &replica = service.replicas[found->second];
+    // Answers to work that came meanwhile, and another address, are newer than the request.
+    if (replica.reportedLeaving && replica.settings.address == request.address) {
+        observeReport(replica, report, now);
+    }
+}
+} // namespace Backend
--- a/Libraries/LibBackend/ReplicaState.h
+++ b/Libraries/LibBackend/ReplicaState.h
@@ -18,6 +18,7 @@
     Configuration::replica_settings settings;
     bool dataCentreOut = false; ///< The configuration has taken the replica's data centre out of service.
     bool reportedLeaving = false; ///< The replica itself said that it takes no new work.
+    Core::time_point healthAskedAt; ///< The last health request of this daemon.
     bool removed = false; ///< No longer in the configuration; kept while requests run so that indices stay valid.
     std::uint32_t inFlight = 0; ///< Requests of this daemon that the replica may be running.
     double smoothedLatencySeconds = 0.0; ///< Exponentially weighted mean; 0: no answer yet.
--- a/Libraries/LibPlatform/BackendCodec.cpp
+++ b/Libraries/LibPlatform/BackendCodec.cpp
@@ -47,6 +47,17 @@
     return encoded;
 }
 
+http_call encodeHealthCall(const std::string &address)
+{
+    http_call encoded;
+    encoded.url = "http://" + address + "/v1/health";
+    encoded.timeout = std::chrono::seconds(1);
+    encoded.responseHeaders = response_headers::Dropped;
+    // A process that has gone may have left its connections open.
+    encoded.reuse = connection_reuse::Forbidden;
+    return encoded;
+}
+
 static std::string stringMember(const json::object &object, std::string_view name)
 {
     const json::value *value = object.if_contains(name);
@@ -90,6 +101,20 @@
     return report;
 }
 
+std::optional<Backend::replica_report> decodeHealth(const call_outcome &outcome)
+{
+    if (outcome.failure != call_failure::None || outcome.response.status != 200) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const json::value value = json::parse(outcome.response.body, error);
+    if (error || !value.is_object()) {
+        return std::nullopt;
+    }
+    Backend::replica_report report = decodeReport(value.get_object());
+    return report.incarnation.empty() ? std::nullopt : std::make_optional(std::move(report));
+}
+
 static Backend::attempt_failure convertFailure(call_failure failure)
 {
     switch (failure) {
--- /dev/null
+++ b/Services/ragwortcrankd/HealthRequests.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+namespace Backend
+{
+struct health_request;
+}
+
+namespace Platform
+{
+class http_client;
+}
+
+struct daemon_state;
+struct service_shard;
+
+/// Asks replicas for their reports without giving them work, as LibBackend decides. It belongs to the thread that runs
+/// the HTTP client.
+class health_requests
+{
+public:
+    health_requests(daemon_state &daemon, Platform::http_client &client);
+
+    /// Sends what is due, at most once a second.
+    void run(Core::time_point now);
+
+private:
+    void send(service_shard &service, const Backend::health_request &request);
+
+    daemon_state &m_daemon;
+    Platform::http_client &m_client;
+    Core::time_point m_nextRun;
+};
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -26,6 +26,7 @@
     , m_random(seed)
     , m_attemptTag(std::to_string(m_random()))
     , m_client(connectionsPerReplica)
+    , m_health(daemon, m_client)
     , m_thread([this] { run(); })
 {
 }
@@ -65,6 +66,7 @@
     while (!m_stopping || !m_queries.empty()) {
         runPosted();
         fireTimers();
+        m_health.run(std::chrono::steady_clock::now());
         flushStreams();
         Core::duration wait = longestSleep;
         if (!m_timers.empty()) {
--- a/Services/ragwortcrankd/QueryWorker.h
+++ b/Services/ragwortcrankd/QueryWorker.h
@@ -2,6 +2,7 @@
 
 #include "AttemptEnd.h"
 #include "CancelledCall.h"
+#include "HealthRequests.h"
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Result.h"
 #include "LibPlatform/HttpClient.h"
@@ -91,6 +92,7 @@
     Core::random_engine m_random;
     const std::string m_attemptTag; ///< Tells this worker's attempts from those of all others.
     Platform::http_client m_client;
+    health_requests m_health;
     std::map<std::uint64_t, std::unique_ptr<running_query>> m_queries;
     std::map<attempt_key, cancelled_call> m_cancelled;
     std::map<std::uint64_t, open_branch> m_branches;
--- /dev/null
+++ b/Tests/LibBackend/TestHealth.cpp
@@ -0,0 +1,72 @@
+#include "LibBackend/Health.h"
+#include "ServiceFixture.h"
+
+namespace
+{
+struct health : service_fixture {
+    /// "a1" is warm, is warmed by this daemon if it turns cold, and has said that it is leaving.
+    void SetUp() override
+    {
+        service_fixture::SetUp();
+        warmAll();
+        rankForA1(0);
+        passHandOver();
+        answer("a1", {"i1", 0.5, false, true});
+    }
+
+    [[nodiscard]] std::size_t due()
+    {
+        return Backend::takeHealthRequests(service, now).size();
+    }
+};
+} // namespace
+
+TEST_F(health, AReplicaThatLeftComesBackUnderTheSameSettings)
+{
+    const auto requests = Backend::takeHealthRequests(service, now);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].address, "127.0.0.1:1");
+    Backend::recordHealth(service, requests[0], {"i1", 0.0, false, false}, now);
+    EXPECT_TRUE(replica("a1").reportedLeaving) << "the same process never takes work again";
+    Backend::recordHealth(service, requests[0], {"i2", 0.0, true, false}, now);
+    EXPECT_FALSE(replica("a1").reportedLeaving);
+    EXPECT_EQ(replica("a1").warmth.level, 0U) << "the new process starts cold";
+}
+
+TEST_F(health, PeersLearnOfTheReturnFromTheRecordOfTheNewProcess)
+{
+    Backend::importWarmth(service, {{"a1", 0, 1, "i2", 0}}, now);
+    EXPECT_FALSE(replica("a1").reportedLeaving);
+    EXPECT_EQ(due(), 0U);
+}
+
+TEST_F(health, OnlyTheWarmerAsksAndRarely)
+{
+    EXPECT_EQ(due(), 1U);
+    now += std::chrono::seconds(1);
+    Backend::confirmOwnership(service, now);
+    EXPECT_EQ(due(), 0U) << "it was asked a second ago";
+    passHandOver();
+    rankForA1(1);
+    EXPECT_EQ(due(), 0U) << "another daemon asks";
+}
+
+TEST_F(health, ReplicasThatTheConfigurationKeepsOutAreNotAsked)
+{
+    document.number = 6;
+    document.dataCentres["dc1"].out = true;
+    apply();
+    EXPECT_EQ(due(), 0U);
+}
+
+TEST_F(health, AnAnswerOfAnotherAddressIsNotTaken)
+{
+    const auto requests = Backend::takeHealthRequests(service, now);
+    ASSERT_EQ(requests.size(), 1U);
+    document.number = 6;
+    document.services["search"].replicas["a1"].address = "127.0.0.1:9";
+    apply();
+    answer("a1", {"i3", 0.5, false, true});
+    Backend::recordHealth(service, requests[0], {"i2", 0.0, false, false}, now);
+    EXPECT_TRUE(replica("a1").reportedLeaving);
+}
--- a/Tests/StandIns/BackendServer.cpp
+++ b/Tests/StandIns/BackendServer.cpp
@@ -92,6 +92,11 @@
         responder.respond(response);
         return;
     }
+    if (request.path == "/v1/health") {
+        const std::scoped_lock lock(m_mutex);
+        responder.respond(respondWith(200, describe()));
+        return;
+    }
     const std::string requests = "/v1/requests/";
     if (request.method == "DELETE" && request.path.starts_with(requests)) {
         cancel(request.path.substr(requests.size()));
