--- a/Libraries/LibConfiguration/Limits.h
+++ b/Libraries/LibConfiguration/Limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 
 namespace Configuration
@@ -10,4 +11,7 @@
 constexpr std::size_t mostRecentPatchIds = 512;
 /// The longest name of a service, route, team, data centre, region, snapshot, shard, replica or version.
 constexpr std::size_t mostNameCharacters = 128;
+/// The longest deadline of a route, and so the longest time that a caller may wait for an answer. The daemon's HTTP
+/// server waits longer than this for slow senders, because Pistache bounds the sending and the answering by one timer.
+constexpr std::chrono::milliseconds longestRouteDeadline {60'000};
 } // namespace Configuration
--- a/Libraries/LibConfiguration/Parse.cpp
+++ b/Libraries/LibConfiguration/Parse.cpp
@@ -11,7 +11,6 @@
 
 namespace Configuration
 {
-static constexpr std::chrono::milliseconds longestDeadline {600'000};
 static constexpr std::chrono::milliseconds longestTimeToLive {3'600'000};
 static constexpr std::uint32_t mostConnections = 100'000;
 
@@ -48,7 +47,7 @@
     reader.readBoolean("idempotent", route.idempotent);
     readFanOut(reader, route.fanOut);
     readPriority(reader, route.priority);
-    reader.readMilliseconds("deadline_ms", route.deadline, std::chrono::milliseconds(1), longestDeadline);
+    reader.readMilliseconds("deadline_ms", route.deadline, std::chrono::milliseconds(1), longestRouteDeadline);
     reader.readNumber("minimum_coverage", route.minimumCoverage, 0.0, 1.0);
 }
 
--- a/Libraries/LibPlatform/HttpServerOptions.h
+++ b/Libraries/LibPlatform/HttpServerOptions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibConfiguration/Limits.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -13,8 +15,9 @@
     std::uint16_t port = 0;
     int threads = 2;
     std::size_t mostRequestBytes = std::size_t(2) << 20U; ///< Larger requests are refused with status 413.
-    std::chrono::milliseconds headerTimeout {5000}; ///< A slower sender's connection is closed.
-    std::chrono::milliseconds bodyTimeout {10000};
+    /// A sender that needs longer for a whole request is closed. Pistache's timer runs on until the answer is sent, so
+    /// this must exceed the longest time to an answer.
+    std::chrono::milliseconds requestTimeout = Configuration::longestRouteDeadline + std::chrono::seconds(15);
     std::chrono::milliseconds keepAliveTimeout {300'000};
 };
 } // namespace Platform
--- a/Services/ragwortcrankd/CallerRequest.cpp
+++ b/Services/ragwortcrankd/CallerRequest.cpp
@@ -1,5 +1,6 @@
 #include "CallerRequest.h"
 
+#include "LibConfiguration/Limits.h"
 #include "LibCore/Try.h"
 #include "LibPlatform/HttpRequest.h"
 
@@ -38,10 +39,11 @@
         return Core::success();
     }
     if (name == "deadline_ms") {
-        constexpr std::int64_t longestDeadline = 600'000;
         const std::int64_t *milliseconds = member.value().if_int64();
-        if (milliseconds == nullptr || *milliseconds < 1 || *milliseconds > longestDeadline) {
-            return invalid("\"deadline_ms\" must be a whole number from 1 to 600000");
+        if (milliseconds == nullptr || *milliseconds < 1
+            || *milliseconds > Configuration::longestRouteDeadline.count()) {
+            return invalid("\"deadline_ms\" must be a whole number from 1 to "
+                           + std::to_string(Configuration::longestRouteDeadline.count()));
         }
         request.timeRemaining = std::chrono::milliseconds(*milliseconds);
         return Core::success();
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -53,7 +53,9 @@
         handleReadiness(daemon, std::move(responder));
     } else if (request.path == "/v1/entries" && request.method == "GET") {
         handleEntries(daemon, request, std::move(responder));
-    } else if (request.path.starts_with("/v1/query/") && request.method == "POST") {
+    } else if (request.path.starts_with("/v1/query/") && request.method != "POST") {
+        responder.respond(encodeRefusal(405, "", "a query must be sent with POST"));
+    } else if (request.path.starts_with("/v1/query/")) {
         callers.handleQuery(request, std::move(responder));
     } else if (request.path.starts_with("/v1/operator/")) {
         operators.handle(request, std::move(responder));
--- a/Tests/LibPlatform/TestStoreClient.cpp
+++ b/Tests/LibPlatform/TestStoreClient.cpp
@@ -30,8 +30,7 @@
         options.address = "127.0.0.1";
         options.port = port;
         options.threads = 2;
-        options.headerTimeout = std::chrono::minutes(5);
-        options.bodyTimeout = std::chrono::minutes(5);
+        options.requestTimeout = std::chrono::minutes(5);
         server = std::move(Platform::http_server::start(
                                options,
                                [this](const Platform::http_request &request, Platform::http_responder responder) {
--- a/Tests/StandIns/StoreMain.cpp
+++ b/Tests/StandIns/StoreMain.cpp
@@ -19,9 +19,7 @@
     options.address = "127.0.0.1";
     options.port = static_cast<std::uint16_t>(FLAGS_port);
     options.threads = 4;
-    // Pistache's header timeout also ends a request that waits for its answer, as a watch does.
-    options.headerTimeout = std::chrono::minutes(5);
-    options.bodyTimeout = std::chrono::minutes(5);
+    options.requestTimeout = std::chrono::minutes(5);
     const auto server = Platform::http_server::start(
         options, [&store](const Platform::http_request &request, Platform::http_responder responder) {
             store.handle(request, std::move(responder));
