--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <thread>
 
 namespace Processes
@@ -21,7 +22,7 @@
 namespace json = boost::json;
 
 static const std::vector<std::string> dataCentreNames {"dc-a", "dc-b", "dc-c"};
-static const std::string operatorKey = "test-operator-key";
+static const std::string operatorsKey = "test-operator-key";
 
 test_fleet::test_fleet(const fleet_options &options)
     : m_options(options)
@@ -71,6 +72,21 @@
     }
 }
 
+/// A service of one shard and one replica, for a team that may use nothing else.
+static json::object makeArchive()
+{
+    const json::object shards {{"a0", json::object {{"weight", 1.0}}}};
+    const json::object replica {{"shard", "a0"},
+                                {"address", "127.0.0.1:" + std::to_string(findFreePort())},
+                                {"data_centre", dataCentreNames.front()},
+                                {"version", "v1"}};
+    return {{"routes", json::object {{"lookup", json::object {{"deadline_ms", 1000}}}}},
+            {"snapshots", json::object {{"snapshot-1", json::object {{"shards", shards}}}}},
+            {"current_snapshot", "snapshot-1"},
+            {"replicas", json::object {{"a0-r0", replica}}},
+            {"version", "v1"}};
+}
+
 void test_fleet::makeDocument(const fleet_options &options)
 {
     json::object shards;
@@ -97,9 +113,15 @@
          json::object {{"dc-a", json::object {{"region", "north"}}},
                        {"dc-b", json::object {{"region", "west"}}},
                        {"dc-c", json::object {{"region", "east"}}}}},
-        {"teams", json::object {{"team", json::object {{"key_hash", Teams::hashKey(teamKey())}, {"share", 0.5}}}}},
+        {"teams",
+         json::object {{"team", json::object {{"key_hash", Teams::hashKey(teamKey())}, {"share", 0.5}}},
+                       {"other-team",
+                        json::object {{"key_hash", Teams::hashKey(otherTeamKey())},
+                                      {"share", 0.1},
+                                      {"services", json::array {"archive"}}}}}},
         {"services",
-         json::object {{"search",
+         json::object {{"archive", makeArchive()},
+                       {"search",
                         json::object {{"routes", routes},
                                       {"snapshots", json::object {{"snapshot-1", json::object {{"shards", shards}}}}},
                                       {"current_snapshot", "snapshot-1"},
@@ -112,6 +134,31 @@
     return "test-team-key";
 }
 
+std::string test_fleet::otherTeamKey() const
+{
+    return "test-other-team-key";
+}
+
+std::string test_fleet::operatorKey() const
+{
+    return operatorsKey;
+}
+
+std::uint16_t test_fleet::daemonPort(int daemon) const
+{
+    return m_callerPorts[static_cast<std::size_t>(daemon)];
+}
+
+std::string test_fleet::daemonLogs() const
+{
+    std::string logs;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        std::ifstream file(m_folder + "/vm-" + std::to_string(index) + ".log");
+        logs.append(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+    }
+    return logs;
+}
+
 const json::object &test_fleet::document() const
 {
     return m_document;
@@ -127,7 +174,7 @@
     arguments.insert(arguments.end(), m_options.daemonFlags.begin(), m_options.daemonFlags.end());
     m_daemons[index] =
         std::make_unique<child_process>("Services/ragwortcrankd/ragwortcrankd", arguments,
-                                        std::vector<std::string> {"RAGWORTCRANK_OPERATOR_KEY=" + operatorKey},
+                                        std::vector<std::string> {"RAGWORTCRANK_OPERATOR_KEY=" + operatorsKey},
                                         m_folder + "/vm-" + std::to_string(daemon) + ".log");
 }
 
@@ -171,7 +218,7 @@
     Platform::http_call request;
     request.method = method;
     request.url = url;
-    request.headers = {"Authorization: Bearer " + operatorKey};
+    request.headers = {"Authorization: Bearer " + operatorsKey};
     request.body = body;
     request.timeout = std::chrono::seconds(10);
     Platform::blocking_http_client client; // One for each call, since tests call from several threads.
--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -57,6 +57,12 @@
 
     [[nodiscard]] const boost::json::object &document() const;
     [[nodiscard]] std::string teamKey() const;
+    /// The key of a team that may use the service "archive" and no other.
+    [[nodiscard]] std::string otherTeamKey() const;
+    [[nodiscard]] std::string operatorKey() const;
+    [[nodiscard]] std::uint16_t daemonPort(int daemon) const;
+    /// All that the daemons logged so far.
+    [[nodiscard]] std::string daemonLogs() const;
 
 private:
     void makeDocument(const fleet_options &options);
