ragwortcrankd: Count the shard requests that branches really sent

Cause: a query counted one request for each attempt at a branch, and dropped branch_summary; what a branch sent again or hedged was in nobody's account. A restarted query also lost what it had sent before. Change: each message of a branch carries how many requests it has sent so far, since the summary comes after the answer that ends the query. The root replaces what it counts for the branch call by that number; until the branch has reported it counts one a shard, and none if the call never reached the peer. Query::shardRequestsOf leaves attempts at branches out, so that nothing counts twice. A restart carries the count over. Ruled out: adding the summary to the account later, since the caller's answer and the metrics would still be too low. Left: what a branch sends after its last message, when the root ends at the deadline or the branch is lost, stays uncounted.

--- a/Libraries/LibQuery/FinishQuery.cpp
+++ b/Libraries/LibQuery/FinishQuery.cpp
@@ -6,6 +6,7 @@
 #include "LibQuery/MergeItems.h"
 #include "LibQuery/QueryState.h"
 #include "LibQuery/ShardOutcome.h"
+#include "LibQuery/ShardRequests.h"
 
 #include <algorithm>
 #include <sstream>
@@ -70,9 +71,7 @@
     result.faultyAttempts = query.faultyAttempts;
     result.shardsAnswered = query.shardsAnswered;
     result.shardsTotal = static_cast<std::uint32_t>(query.shards.size());
-    for (const shard_state &shard : query.shards) {
-        result.shardRequests += shard.attemptsSent;
-    }
+    result.shardRequests = shardRequestsOf(query);
     result.reason = reasonFor(query, result, reason);
     closeAll(query, service, effects, now);
     sortItems(query.items);
--- a/Libraries/LibQuery/QueryState.h
+++ b/Libraries/LibQuery/QueryState.h
@@ -23,6 +23,7 @@
     std::optional<Core::time_point> retryAt; ///< When to try the waiting shards again.
     std::optional<Core::time_point> wakeAt; ///< The time that the daemon was last given.
     std::uint32_t faultyAttempts = 0; ///< Attempts that ended with an error answer.
+    std::uint32_t branchRequests = 0; ///< Requests to backend servers that branches sent; kept by the daemon.
     std::uint32_t shardsAnswered = 0;
     std::uint32_t shardsOpen = 0;
     std::uint32_t shardsWaiting = 0;
--- a/Libraries/LibQuery/ShardState.h
+++ b/Libraries/LibQuery/ShardState.h
@@ -23,6 +23,6 @@
     std::uint32_t attemptsSent = 0;
     boost::container::small_vector<attempt_state, 1> running;
     boost::container::small_vector<std::size_t, 2> triedReplicas;
-    boost::container::small_vector<std::string, 1> triedPeers;
+    boost::container::small_vector<std::string, 1> triedPeers; ///< One for each attempt that went to a branch.
 };
 } // namespace Query
--- a/Libraries/LibWire/BranchAnswers.h
+++ b/Libraries/LibWire/BranchAnswers.h
@@ -3,6 +3,7 @@
 #include "LibWire/BranchShardAnswer.h"
 #include "LibWire/BranchShardFailure.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace Wire
@@ -11,5 +12,6 @@
 struct branch_answers {
     std::vector<branch_shard_answer> answers;
     std::vector<branch_shard_failure> failures;
+    std::uint32_t shardRequests = 0; ///< Requests sent to backend servers since the branch began.
 };
 } // namespace Wire
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -74,7 +74,8 @@
 
 interface BranchSink {
   # Where a branch streams its answers while the call runs.
-  answers @0 (answers :List(BranchShardAnswer), failures :List(BranchShardFailure)) -> ();
+  # shardRequests: attempts that the branch has sent to backend servers so far.
+  answers @0 (answers :List(BranchShardAnswer), failures :List(BranchShardFailure), shardRequests :UInt32) -> ();
 }
 
 struct BranchSummary {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -197,7 +197,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5884f8913dbc36e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b5884f8913dbc36e, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1410,6 +1410,8 @@
   inline bool hasFailures() const;
   inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Reader getFailures() const;
 
+  inline  ::uint32_t getShardRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1452,6 +1454,9 @@
   inline void adoptFailures(::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>> disownFailures();
 
+  inline  ::uint32_t getShardRequests();
+  inline void setShardRequests( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3823,6 +3828,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t BranchSink::AnswersParams::Reader::getShardRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BranchSink::AnswersParams::Builder::getShardRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BranchSink::AnswersParams::Builder::setShardRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BranchSummary::Reader::getShardRequests() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -10,6 +10,7 @@
 #include "LibQuery/Outcome.h"
 #include "LibQuery/PlanQuery.h"
 #include "LibQuery/QueryEvents.h"
+#include "LibQuery/ShardRequests.h"
 #include "LibWire/BranchSummary.h"
 #include "RunningQuery.h"
 #include "ServiceShard.h"
@@ -177,11 +178,13 @@
     const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
     m_queries.erase(query);
     query_task task = std::move(ended->task);
+    task.earlierRequests += Query::shardRequestsOf(ended->state);
     const Query::query_plan &old = ended->state.plan;
     auto plan = Query::planQuery(*m_daemon.configuration.current(), task.request, old.version,
                                  std::chrono::steady_clock::now());
     if (!plan) {
         Query::query_result result;
+        result.shardRequests = task.earlierRequests;
         result.requestId = old.requestId;
         result.result = Query::outcome::Unknown;
         result.reason = "the snapshot vanished, and the query could not be planned anew: " + plan.error().message;
@@ -199,6 +202,7 @@
     const std::unique_ptr<running_query> ended = std::move(m_queries.at(query));
     m_queries.erase(query);
     if (ended->task.branch) {
+        ended->unsent.shardRequests = result.shardRequests;
         ended->task.branch->send(std::move(ended->unsent));
         if (ended->trace != nullptr) {
             endSpan(m_daemon.traces, std::move(*ended->trace->branch), Query::outcomeName(result.result));
@@ -208,6 +212,7 @@
         ended->task.branch->end(summary);
         return;
     }
+    result.shardRequests += ended->task.earlierRequests;
     ended->task.done(std::move(result));
 }
 
--- a/Services/ragwortcrankd/QueryWorker.h
+++ b/Services/ragwortcrankd/QueryWorker.h
@@ -79,6 +79,7 @@
                      const std::vector<const Query::send_attempt *> &sends);
     void takeBranchAnswers(std::uint64_t branch, Wire::branch_answers answers);
     void endBranch(std::uint64_t branch, const Core::result<Wire::branch_summary> &end);
+    void countRequests(open_branch &branch, std::uint32_t requests);
     void dropUnwantedBranches(running_query &running);
     void forgetBranch(std::uint64_t branch);
 
--- a/Services/ragwortcrankd/QueryWorkerBranches.cpp
+++ b/Services/ragwortcrankd/QueryWorkerBranches.cpp
@@ -2,6 +2,7 @@
 #include "LibConfiguration/ConfigurationDocument.h"
 #include "LibObservability/TraceParent.h"
 #include "LibQuery/QueryEvents.h"
+#include "LibQuery/ShardRequests.h"
 #include "LibWire/BranchRequest.h"
 #include "LibWire/BranchSummary.h"
 #include "LibWire/PeerNetwork.h"
@@ -44,6 +45,7 @@
     for (const Query::send_attempt *send : sends) {
         branch.attempts[running.state.plan.shards[send->shard].name] = send->attempt;
     }
+    countRequests(branch, static_cast<std::uint32_t>(sends.size()));
     running.branches.push_back(number);
     const std::string address = m_daemon.membership == nullptr ? "" : m_daemon.membership->peerAddress(peer);
     if (m_daemon.peers == nullptr || address.empty()) {
@@ -70,8 +72,23 @@
         });
 }
 
+/// Replaces what the branch's query counts for it.
+void query_worker::countRequests(open_branch &branch, std::uint32_t requests)
+{
+    const auto running = m_queries.find(branch.query);
+    if (running != m_queries.end()) {
+        std::uint32_t &total = running->second->state.branchRequests;
+        total = total - branch.countedRequests + requests;
+    }
+    branch.countedRequests = requests;
+}
+
 void query_worker::takeBranchAnswers(std::uint64_t number, Wire::branch_answers answers)
 {
+    if (const auto branch = m_branches.find(number); branch != m_branches.end()) {
+        branch->second.hasReported = true;
+        countRequests(branch->second, answers.shardRequests);
+    }
     // Each end of an attempt may finish the query and forget the branch, so the branch is looked up anew each time.
     const auto take = [this, number](const std::string &shard, auto &&makeEnd) {
         const auto found = m_branches.find(number);
@@ -128,6 +145,11 @@
     }
     open_branch ended = std::move(found->second);
     forgetBranch(number);
+    if (end) {
+        countRequests(ended, end.value().shardRequests);
+    } else if (!ended.hasReported && failureOf(end) == Backend::attempt_failure::ConnectFailed) {
+        countRequests(ended, 0); // The call never reached the peer.
+    }
     if (ended.span != nullptr) {
         endSpan(m_daemon.traces, std::move(*ended.span), end ? "ended" : end.error().message);
     }
@@ -211,6 +233,7 @@
         }
         Wire::branch_answers &unsent = found->second->unsent;
         if (!unsent.answers.empty() || !unsent.failures.empty()) {
+            unsent.shardRequests = Query::shardRequestsOf(found->second->state);
             found->second->task.branch->send(std::exchange(unsent, {}));
         }
     }
--- a/Tests/LibQuery/TestRootAndBranch.cpp
+++ b/Tests/LibQuery/TestRootAndBranch.cpp
@@ -24,6 +24,19 @@
     }
 }
 
+TEST_F(root_and_branch, RequestsOfABranchAreCountedOnceAsTheBranchReportsThem)
+{
+    prepare(2);
+    ownBy({"vm-1", "vm-2"});
+    const auto started = Query::startQuery(query, service, now, random);
+    ASSERT_EQ(started.sends.size(), 2U);
+    query.branchRequests = 3; // One of them was hedged by the branch.
+    static_cast<void>(Query::onAnswer(query, service, started.sends[0].attempt, answerFor(0), now, random));
+    const auto ended = Query::onAnswer(query, service, started.sends[1].attempt, answerFor(1), now, random);
+    ASSERT_TRUE(ended.finished);
+    EXPECT_EQ(ended.finished->shardRequests, 3U);
+}
+
 TEST_F(root_and_branch, AnotherOwnerTakesOverFromALostPeer)
 {
     prepare(1);
--- a/Tests/Processes/TestBranches.cpp
+++ b/Tests/Processes/TestBranches.cpp
@@ -27,8 +27,8 @@
     return {fleet.daemonAddress(0), fleet.daemonAddress(1), fleet.daemonAddress(2)};
 }
 
-/// Sends one query with a short deadline to one daemon and returns the coverage of its answer, 0 without one.
-double coverageAt(const Processes::test_fleet &fleet, int daemon)
+/// Sends one query with a short deadline to one daemon and returns its answer, empty without one.
+boost::json::object answerOf(const Processes::test_fleet &fleet, int daemon)
 {
     Platform::blocking_http_client client;
     Platform::http_call call;
@@ -39,14 +39,50 @@
     call.timeout = 2s;
     const Platform::call_outcome outcome = client.send(std::move(call));
     if (outcome.failure != Platform::call_failure::None) {
-        return 0.0;
+        return {};
     }
-    const boost::json::object answer = boost::json::parse(outcome.response.body).as_object();
+    return boost::json::parse(outcome.response.body).as_object();
+}
+
+/// The coverage of one query's answer, 0 without an answer.
+double coverageAt(const Processes::test_fleet &fleet, int daemon)
+{
+    const boost::json::object answer = answerOf(fleet, daemon);
     const boost::json::value *coverage = answer.if_contains("coverage");
     return coverage == nullptr ? 0.0 : coverage->to_number<double>();
 }
+
+/// Shard requests that all stand-in backend servers together have received.
+std::uint64_t receivedRequests(Processes::test_fleet &fleet)
+{
+    std::uint64_t received = 0;
+    for (const std::string &replica : fleet.replicaNames()) {
+        received += fleet.backendCounters(replica).at("received").to_number<std::uint64_t>();
+    }
+    return received;
+}
 } // namespace
 
+TEST(Branches, AnswersCountTheRequestsThatBranchesSent)
+{
+    Processes::test_fleet fleet(oneOwner());
+    std::this_thread::sleep_for(3s);
+    // A replica that refuses makes its owner send a second request. So few queries leave the latencies unknown, and
+    // without them nothing is hedged, so that the counts must be equal.
+    for (int shard = 0; shard < 4; ++shard) {
+        fleet.setBackendFaults("s" + std::to_string(shard) + "-r0", {{"shedding", true}});
+    }
+    constexpr int queries = 18;
+    std::uint64_t counted = 0;
+    for (int query = 0; query < queries; ++query) {
+        const boost::json::object answer = answerOf(fleet, query % 3);
+        EXPECT_EQ(answer.at("coverage").to_number<double>(), 1.0);
+        counted += answer.at("shard_requests").to_number<std::uint64_t>();
+    }
+    EXPECT_EQ(counted, receivedRequests(fleet));
+    EXPECT_GT(counted, queries * 4U) << "no request was sent twice, so nothing was shown";
+}
+
 TEST(Branches, QueriesThroughOwnersGiveTheSameAnswers)
 {
     Processes::test_fleet fleet(oneOwner());
--- a/Tests/StandIns/BackendServer.cpp
+++ b/Tests/StandIns/BackendServer.cpp
@@ -119,6 +119,7 @@
     const json::object body = json::parse(request.body).as_object();
     const Core::time_point now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
+    ++m_received;
     const std::string traceParent = headerOf(request, "traceparent");
     if (traceParent.ends_with("-01")) {
         m_traceParents.push_back(traceParent);
@@ -252,6 +253,7 @@
         runs[requestId] = count;
     }
     return json::serialize(json::object {{"runs", std::move(runs)},
+                                         {"received", m_received},
                                          {"trace_parents", json::array(m_traceParents.begin(), m_traceParents.end())},
                                          {"most_running", m_mostRunning},
                                          {"most_while_cold", m_mostWhileCold}});
