LibQuery, LibObservability, LibPlatform: Share the once rules and give each type its header

Cause: beginOnce and resolveOnce stood twice but for four decisions; two headers had two types; summaries held bare seconds. Change: one function with the four rules, two headers, durations in summaries. Conclusion: no behaviour is new.

--- a/Libraries/LibObservability/MetricSummary.cpp
+++ b/Libraries/LibObservability/MetricSummary.cpp
@@ -71,12 +71,11 @@
 
 void metric_summary::add(Core::duration value, Core::time_point now)
 {
-    const double seconds = Core::toSeconds(value);
     const std::scoped_lock lock(m_mutex);
     turnWindows(now);
-    m_current->add(seconds);
+    m_current->add(Core::toSeconds(value));
     ++m_count;
-    m_sumSeconds += seconds;
+    m_sum += value;
 }
 
 summary_values metric_summary::values(Core::time_point now)
@@ -85,6 +84,6 @@
     turnWindows(now);
     const bool currentIsFuller = accumulators::count(m_current->seconds) >= accumulators::count(m_previous->seconds);
     window &chosen = currentIsFuller ? *m_current : *m_previous;
-    return {m_count, m_sumSeconds, chosen.quantile(0.5), chosen.quantile(0.99)};
+    return {m_count, m_sum, Core::fromSeconds(chosen.quantile(0.5)), Core::fromSeconds(chosen.quantile(0.99))};
 }
 } // namespace Observability
--- a/Libraries/LibObservability/MetricSummary.h
+++ b/Libraries/LibObservability/MetricSummary.h
@@ -30,6 +30,6 @@
     std::unique_ptr<window> m_previous;
     Core::time_point m_windowStart;
     std::uint64_t m_count = 0;
-    double m_sumSeconds = 0.0;
+    Core::duration m_sum {};
 };
 } // namespace Observability
--- a/Libraries/LibObservability/MetricsRegistry.cpp
+++ b/Libraries/LibObservability/MetricsRegistry.cpp
@@ -69,11 +69,11 @@
 {
     const std::string plain = formatLabels(labelled);
     stream << name << "_count" << plain << ' ' << values.count << '\n';
-    stream << name << "_sum" << plain << ' ' << values.sumSeconds << '\n';
+    stream << name << "_sum" << plain << ' ' << Core::toSeconds(values.sum) << '\n';
     labelled.push_back({"quantile", "0.5"});
-    stream << name << formatLabels(labelled) << ' ' << values.medianSeconds << '\n';
+    stream << name << formatLabels(labelled) << ' ' << Core::toSeconds(values.median) << '\n';
     labelled.back().value = "0.99";
-    stream << name << formatLabels(labelled) << ' ' << values.quantile99Seconds << '\n';
+    stream << name << formatLabels(labelled) << ' ' << Core::toSeconds(values.quantile99) << '\n';
 }
 
 std::string metrics_registry::toText(Core::time_point now)
--- a/Libraries/LibObservability/SummaryValues.h
+++ b/Libraries/LibObservability/SummaryValues.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include "LibCore/Time.h"
+
 #include <cstdint>
 
 namespace Observability
 {
-/// What a summary tells, in seconds. Quantiles are 0 without recent values.
+/// What a summary of durations tells. Quantiles are 0 without recent values.
 struct summary_values {
     std::uint64_t count = 0;
-    double sumSeconds = 0.0;
-    double medianSeconds = 0.0;
-    double quantile99Seconds = 0.0;
+    Core::duration sum {};
+    Core::duration median {};
+    Core::duration quantile99 {};
 };
 } // namespace Observability
--- a/Libraries/LibObservability/TraceContext.h
+++ b/Libraries/LibObservability/TraceContext.h
@@ -1,16 +1,12 @@
 #pragma once
 
+#include "LibObservability/TraceSampling.h"
+
 #include <cstdint>
 #include <string>
 
 namespace Observability
 {
-/// Whether the spans of a trace are recorded.
-enum class trace_sampling {
-    NotSampled,
-    Sampled,
-};
-
 /// A position in a trace, as carried by the W3C traceparent header.
 struct trace_context {
     std::string traceId; ///< 32 lower-case hexadecimal digits, not all zero.
--- a/Libraries/LibPlatform/HttpCall.h
+++ b/Libraries/LibPlatform/HttpCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibPlatform/ConnectionReuse.h"
 #include "LibPlatform/ResponseHeaders.h"
 
 #include <optional>
@@ -9,12 +10,6 @@
 
 namespace Platform
 {
-/// Whether a call may use a connection that earlier calls left open.
-enum class connection_reuse {
-    Allowed,
-    Forbidden, ///< libcurl resends a request by itself when a kept connection turns out dead; this rules it out.
-};
-
 /// A request to send with the HTTP client.
 struct http_call {
     std::string method = "GET";
--- a/Libraries/LibQuery/OnceEvents.cpp
+++ b/Libraries/LibQuery/OnceEvents.cpp
@@ -62,15 +62,26 @@
     return std::nullopt;
 }
 
-once_decision beginOnce(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
-                        Core::wall_time now)
+namespace
+{
+/// What differs between a caller's request and a question from another daemon.
+struct once_rules {
+    once_decision ofAnotherLife; ///< The id names another incarnation.
+    once_decision withoutRoom; ///< The registry is full, so nothing can be recorded.
+    once_progress recorded; ///< What a request that was never seen is recorded as.
+    once_decision ofUnseen; ///< The decision for a request that was never seen, once it is recorded.
+};
+} // namespace
+
+static once_decision decide(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
+                            Core::wall_time now, const once_rules &rules)
 {
     const std::optional<request_identity> identity = parseRequestIdentity(requestId);
     if (!identity) {
         return once_decision::Malformed;
     }
     if (!isOwn(registry, *identity)) {
-        return once_decision::AskNamedDaemon;
+        return rules.ofAnotherLife;
     }
     forgetOldRequests(registry, now);
     if (const auto known = decisionOf(registry, requestId, fingerprint)) {
@@ -80,34 +91,26 @@
         return *tooOld;
     }
     if (registry.entries.size() >= registry.mostEntries) {
-        return once_decision::NotRun;
+        return rules.withoutRoom;
     }
-    remember(registry, requestId, *identity, fingerprint, once_progress::Running);
-    return once_decision::Start;
+    remember(registry, requestId, *identity, fingerprint, rules.recorded);
+    return rules.ofUnseen;
+}
+
+once_decision beginOnce(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
+                        Core::wall_time now)
+{
+    return decide(registry, requestId, fingerprint, now,
+                  {once_decision::AskNamedDaemon, once_decision::NotRun, once_progress::Running, once_decision::Start});
 }
 
 once_decision resolveOnce(once_registry &registry, const std::string &requestId, std::uint64_t fingerprint,
                           Core::wall_time now)
 {
-    const std::optional<request_identity> identity = parseRequestIdentity(requestId);
-    if (!identity) {
-        return once_decision::Malformed;
-    }
-    if (!isOwn(registry, *identity)) {
-        return once_decision::Unknown; // Asked about an earlier life of this VM, which may have run it.
-    }
-    forgetOldRequests(registry, now);
-    if (const auto known = decisionOf(registry, requestId, fingerprint)) {
-        return *known;
-    }
-    if (const auto tooOld = checkAge(*identity, now)) {
-        return *tooOld;
-    }
-    if (registry.entries.size() >= registry.mostEntries) {
-        return once_decision::Unknown; // Without a record of the refusal a late arrival could still run.
-    }
-    remember(registry, requestId, *identity, fingerprint, once_progress::Refused);
-    return once_decision::NotRun;
+    // An earlier life of this VM may have run the request. Without room for a record of the refusal, a late arrival
+    // could still run. In both cases nothing is known.
+    return decide(registry, requestId, fingerprint, now,
+                  {once_decision::Unknown, once_decision::Unknown, once_progress::Refused, once_decision::NotRun});
 }
 
 void finishOnce(once_registry &registry, const std::string &requestId, int status, std::string answer)
--- a/Tests/LibObservability/TestMetricsRegistry.cpp
+++ b/Tests/LibObservability/TestMetricsRegistry.cpp
@@ -20,10 +20,10 @@
     for (int index = 0; index < 1000; ++index) {
         summary.add(std::chrono::milliseconds(1 + index % 100), now);
     }
-    EXPECT_NEAR(summary.values(now).medianSeconds, 0.05, 0.01);
-    EXPECT_NEAR(summary.values(now).quantile99Seconds, 0.1, 0.02);
+    EXPECT_NEAR(Core::toSeconds(summary.values(now).median), 0.05, 0.01);
+    EXPECT_NEAR(Core::toSeconds(summary.values(now).quantile99), 0.1, 0.02);
     now += std::chrono::minutes(5);
     summary.add(std::chrono::seconds(7), now);
-    EXPECT_DOUBLE_EQ(summary.values(now).medianSeconds, 7.0);
+    EXPECT_EQ(summary.values(now).median, std::chrono::seconds(7));
     EXPECT_EQ(summary.values(now).count, 1001U);
 }
