LibRollout: Judge a late fault and a slow thin route in time

The first verdict itself came 2.7 to 3.0 s after the 20th faulty answer, with 115 to 126 faulty answers: the excess of 2% was asked of all answers in two windows of 10 s, most of them from before the fault. On the thin route some slow answers came before the old latency was known, and the rest did not reach the exponent. Change: shortest windows of 5 s in place of 10 s; answers that come before the old latency is known wait and are compared then; the exponent is 14 in place of 17 for windows of 100 s and more, which are a twentieth as many. The new test fails when early answers are dropped (planted). A clock that was set back no longer counts into a window that is dropped with the same call.

--- a/Benchmarks/Policy/Rollout.cpp
+++ b/Benchmarks/Policy/Rollout.cpp
@@ -2,7 +2,9 @@
 #include "Policy/Scenarios.h"
 
 #include <algorithm>
+#include <numeric>
 #include <string>
+#include <vector>
 
 namespace Bench
 {
@@ -22,9 +24,21 @@
     return fault;
 }
 
+/// The baseline, which breaks the bound in each seed, runs with the first seeds only.
+static constexpr std::uint64_t baselineSeeds = 3;
+
+/// Ten seeds, and thirty from a range in which the bound once broke.
+static std::vector<std::uint64_t> severalSeeds()
+{
+    std::vector<std::uint64_t> seeds(40);
+    std::iota(seeds.begin(), seeds.begin() + 10, 1);
+    std::iota(seeds.begin() + 10, seeds.end(), 101);
+    return seeds;
+}
+
 static void addBadVersion(rollout_case settings, std::vector<bench_row> &rows)
 {
-    const std::vector<std::uint64_t> seeds {1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+    const std::vector<std::uint64_t> seeds = severalSeeds();
     double mostBefore = 0.0;
     double mostAfter = 0.0;
     double shown = 0.0;
@@ -39,7 +53,9 @@
         mostAfter = std::max(mostAfter, static_cast<double>(record.newAfterBound));
         shown += record.shown || record.takenBack ? 1.0 : 0.0;
         settings.judges = false;
-        baselineAfter = std::max(baselineAfter, static_cast<double>(rollout_fleet(settings).run().newAfterBound));
+        if (seed <= baselineSeeds) {
+            baselineAfter = std::max(baselineAfter, static_cast<double>(rollout_fleet(settings).run().newAfterBound));
+        }
     }
     const std::string name = nameOf(settings);
     // A version that works at first has its traffic by right until it stops working.
--- a/Benchmarks/Policy/RolloutFleet.cpp
+++ b/Benchmarks/Policy/RolloutFleet.cpp
@@ -144,10 +144,16 @@
     }
 }
 
+bool rollout_fleet::allKnowBad() const
+{
+    return std::all_of(m_daemons.begin(), m_daemons.end(), [](const daemon &own) { return own.held.bad; });
+}
+
 rollout_record rollout_fleet::run()
 {
     const auto tick = std::chrono::duration_cast<Core::wall_time::duration>(m_case.exchangeInterval);
-    while (m_now < m_service.rollout->deadline) {
+    // Once all daemons know that the version is bad its share stays 0.
+    while (m_now < m_service.rollout->deadline && !allKnowBad()) {
         exchange();
         updateShares();
         const int queries = std::poisson_distribution<int>(rate() * Core::toSeconds(tick))(m_random);
--- a/Benchmarks/Policy/RolloutFleet.h
+++ b/Benchmarks/Policy/RolloutFleet.h
@@ -43,6 +43,7 @@
     void countFault();
     void exchange();
     void updateShares();
+    [[nodiscard]] bool allKnowBad() const;
     [[nodiscard]] double draw();
 
     rollout_case m_case;
--- a/Libraries/LibRollout/Evidence.cpp
+++ b/Libraries/LibRollout/Evidence.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace Rollout
 {
@@ -34,26 +36,52 @@
     }
 }
 
-/// Returns whether the latency is high against the old version, which is learnt from its own queries.
-static bool isSlow(latency_baseline &baseline, version_side side, double latency)
+static bool isSlow(const latency_baseline &baseline, double latency)
 {
     constexpr double margin = 1.4;
-    const bool slow = baseline.highLatency > 0.0 && latency > baseline.highLatency * margin;
-    if (side == version_side::Old) {
-        learnLatency(baseline, latency);
+    return latency > baseline.highLatency * margin;
+}
+
+static void countFault(fault_counts &faults, version_side side, double newShare)
+{
+    ++faults.all;
+    faults.ofNew += side == version_side::New ? 1 : 0;
+    faults.expected += static_cast<std::uint32_t>(std::lround(newShare * fault_counts::expectedScale));
+}
+
+/// Counts which of the answers are slow, in the windows of now.
+static void countSlow(const std::vector<early_answer> &answers, const latency_baseline &baseline,
+                      const std::vector<route_counts *> &windows)
+{
+    for (const early_answer &answer : answers) {
+        if (!isSlow(baseline, answer.latency)) {
+            continue;
+        }
+        for (route_counts *counts : windows) {
+            countFault(counts->slow, answer.side, answer.newShare);
+        }
     }
-    return slow;
 }
 
-static void count(route_counts &counts, const observation &seen, bool slow)
+/// Compares a latency with the old version's, which is learnt from its own answers. What comes before enough is learnt
+/// waits and is compared then, so that a version that is slow from the start shows at once.
+static void compareLatency(latency_baseline &baseline, const observation &seen,
+                           const std::vector<route_counts *> &windows)
 {
-    const bool isNew = seen.side == version_side::New;
-    counts.newTotal += isNew ? 1 : 0;
-    if (seen.failed || slow) {
-        fault_counts &faults = seen.failed ? counts.errors : counts.slow;
-        ++faults.all;
-        faults.ofNew += isNew ? 1 : 0;
-        faults.expected += static_cast<std::uint32_t>(std::lround(seen.newShare * fault_counts::expectedScale));
+    constexpr std::size_t mostEarly = 200;
+    const early_answer answer {seen.side, seen.newShare, Core::toSeconds(seen.latency)};
+    const bool known = baseline.highLatency > 0.0;
+    if (known && !seen.failed) {
+        countSlow({answer}, baseline, windows);
+    }
+    if (!known && !seen.failed && baseline.early.size() < mostEarly) {
+        baseline.early.push_back(answer);
+    }
+    if (seen.side == version_side::Old) {
+        learnLatency(baseline, answer.latency);
+    }
+    if (!known && baseline.highLatency > 0.0) {
+        countSlow(std::exchange(baseline.early, {}), baseline, windows);
     }
 }
 
@@ -67,13 +95,25 @@
 
 void recordAnswer(own_evidence &own, const observation &seen, Core::wall_time now)
 {
-    const bool slow = isSlow(own.baselines[seen.route], seen.side, Core::toSeconds(seen.latency));
     route_evidence &route = own.counts.routes[nameKey(seen.route)];
+    std::vector<route_counts *> current;
     for (std::size_t scale = 0; scale < windowLengths.size(); ++scale) {
         const auto window = static_cast<std::uint32_t>(now.time_since_epoch() / windowLengths[scale]);
-        count(route.windows[scale][window], seen, slow);
-        dropOldWindows(route.windows[scale]);
+        std::map<std::uint32_t, route_counts> &windows = route.windows[scale];
+        windows.try_emplace(window);
+        dropOldWindows(windows);
+        // After the clock was set back the window may be too old to keep.
+        if (const auto counts = windows.find(window); counts != windows.end()) {
+            current.push_back(&counts->second);
+        }
+    }
+    for (route_counts *counts : current) {
+        counts->newTotal += seen.side == version_side::New ? 1 : 0;
+        if (seen.failed) {
+            countFault(counts->errors, seen.side, seen.newShare);
+        }
     }
+    compareLatency(own.baselines[seen.route], seen, current);
 }
 
 static void takeLarger(fault_counts &held, const fault_counts &other)
--- a/Libraries/LibRollout/JudgeEvidence.cpp
+++ b/Libraries/LibRollout/JudgeEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRollout/RolloutEvidence.h"
 
+#include <array>
 #include <cmath>
 #include <cstddef>
 
@@ -9,9 +10,10 @@
 {
 /// Fewest faulty answers of the new version for a verdict.
 static constexpr double fewestFaulty = 8.0;
-/// Negative logarithm of the probability below which chance is ruled out. The evidence is judged several times a
-/// second for hours, so one look must hardly ever be wrong.
-static constexpr double certainty = 17.0;
+/// Negative logarithm of the probability below which chance is ruled out, for each window length. The evidence is
+/// judged several times a second for hours, so one look must hardly ever be wrong; the longer windows are a twentieth
+/// as many or fewer, and take e^-3 of the certainty for the same number of wrong verdicts.
+static constexpr std::array<double, windowLengths.size()> certainties {17.0, 14.0, 14.0, 14.0};
 /// Faults beyond the expected ones, as a part of the new version's answers, below which a difference does not matter.
 static constexpr double smallestExcess = 0.02;
 
@@ -50,7 +52,7 @@
 }
 
 /// Returns whether chance is ruled out, by the Chernoff bound for independent draws with unequal probabilities.
-static bool isBad(const fault_sums &faults, double newTotal)
+static bool isBad(const fault_sums &faults, double newTotal, double certainty)
 {
     if (faults.ofNew < fewestFaulty || faults.ofNew - faults.expected < smallestExcess * newTotal) {
         return false;
@@ -64,9 +66,9 @@
     return informationOf(faults.ofNew, faults.expected) + informationOf(ofOld, expectedOfOld) >= certainty;
 }
 
-static bool isBad(const route_sums &sums)
+static bool isBad(const route_sums &sums, double certainty)
 {
-    return isBad(sums.errors, sums.newTotal) || isBad(sums.slow, sums.newTotal);
+    return isBad(sums.errors, sums.newTotal, certainty) || isBad(sums.slow, sums.newTotal, certainty);
 }
 
 static bool isBadInWindow(const rollout_evidence &evidence, std::size_t scale, Core::wall_time now)
@@ -85,11 +87,11 @@
             }
         }
     }
-    if (isBad(all)) {
+    if (isBad(all, certainties[scale])) {
         return true;
     }
     for (const auto &[route, sums] : byRoute) {
-        if (isBad(sums)) {
+        if (isBad(sums, certainties[scale])) {
             return true;
         }
     }
--- a/Libraries/LibRollout/RouteEvidence.h
+++ b/Libraries/LibRollout/RouteEvidence.h
@@ -13,7 +13,7 @@
 /// Lengths of the windows that answers are counted in. Short ones show a late fault at once where traffic is high, long
 /// ones where it is low; the longest covers the whole rollout.
 inline constexpr std::array<std::chrono::seconds, 4> windowLengths {
-    std::chrono::seconds(10), std::chrono::seconds(100), std::chrono::seconds(1000), std::chrono::seconds(100'000'000)};
+    std::chrono::seconds(5), std::chrono::seconds(100), std::chrono::seconds(1000), std::chrono::seconds(100'000'000)};
 
 /// The counts of one route at one daemon: for each window length the latest two windows, by the window's number since
 /// the epoch of civil time.
--- a/Tests/LibRollout/TestRollout.cpp
+++ b/Tests/LibRollout/TestRollout.cpp
@@ -95,6 +95,20 @@
     EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
 }
 
+TEST_F(rollout, SlowAnswersBeforeTheOldLatencyIsKnownCountToo)
+{
+    Rollout::own_evidence own;
+    for (int query = 0; query < 18; ++query) {
+        const version_side side = query % 2 == 0 ? version_side::New : version_side::Old;
+        const milliseconds latency(side == version_side::New ? 30 : 10);
+        Rollout::recordAnswer(own, {side, 0.03, "r", false, latency}, now);
+    }
+    // This answer is the tenth of the old version, with a clock that was set back.
+    Rollout::recordAnswer(own, {version_side::Old, 0.03, "r", false, milliseconds(10)}, now - seconds(60));
+    Rollout::mergeDaemon(evidence, 1, own.counts);
+    EXPECT_EQ(Rollout::judgeEvidence(evidence, now), verdict::Bad);
+}
+
 TEST_F(rollout, ShareIsSmallFirstAndWholeBeforeTheDeadline)
 {
     EXPECT_EQ(Rollout::shareOfNewVersion(*service.rollout, evidence, start - seconds(1)), 0.0);
