LibBackend: Warm cold replicas by copies of requests that nobody waits for

Cause: the choice of a replica avoids slow ones, and a hedge stops the slow answer that would warm it, so that a returned data centre stayed cold. Change: the daemon that warms a replica keeps one copy of an idempotent first request running there and drops its answer (Backend::takeWarmUp). Copies are paid from what hedges and retries leave of the extra load. Planted faults: no check of running copies, any daemon sends, no tokens kept, no check of where the request may go; a test of warm_up fails for each. Ruled out: hedging a share of first requests at once, which stops the answers that would warm the replica.

--- a/Benchmarks/Policy/DriverSettings.h
+++ b/Benchmarks/Policy/DriverSettings.h
@@ -17,6 +17,7 @@
     double minimumCoverage = 0.0;
     double alertPart = 0.0; ///< Part of the queries that are alerts; the others are ordinary.
     bool idempotent = true;
+    bool warmsUp = true; ///< False is the baseline in which cold replicas get no copies of requests.
     bool remembersReplicas = true; ///< False is the baseline of a random replica: each query starts knowing nothing.
 };
 } // namespace Bench
--- a/Benchmarks/Policy/QueryDriver.cpp
+++ b/Benchmarks/Policy/QueryDriver.cpp
@@ -121,6 +121,9 @@
 {
     for (const Query::send_attempt &attempt : effects.sends) {
         send(number, attempt);
+        if (m_settings.warmsUp && m_settings.idempotent && Query::isFirstAttempt(attempt.attempt)) {
+            sendWarmUp(m_queries.at(number), attempt.shard);
+        }
     }
     for (const Query::cancel_attempt &attempt : effects.cancels) {
         cancel(number, attempt);
@@ -194,8 +197,7 @@
     return reply.failure ? Query::cancelled_end::Failed : Query::cancelled_end::Answered;
 }
 
-/// What the codec makes of a refusal: the kind, and what the replica says of itself.
-static Backend::failed_attempt failedAttempt(const fake_reply &reply)
+Backend::failed_attempt query_driver::failedAttempt(const fake_reply &reply)
 {
     const auto failure = reply.failure.value_or(Backend::attempt_failure::Cancelled);
     if (failure == Backend::attempt_failure::NotRun || failure == Backend::attempt_failure::SnapshotGone) {
--- a/Benchmarks/Policy/QueryDriver.h
+++ b/Benchmarks/Policy/QueryDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBackend/FailedAttempt.h"
 #include "LibBackend/ServiceState.h"
 #include "LibConfiguration/ConfigurationDocument.h"
 #include "LibCore/RandomEngine.h"
@@ -91,12 +92,17 @@
     [[nodiscard]] Core::duration delayTo(std::size_t daemon, const Backend::replica_state &replica) const;
     void carryOut(std::uint64_t number, Query::query_effects effects);
     void send(std::uint64_t number, const Query::send_attempt &attempt);
+    /// Sends a copy of a first request to a cold replica of its shard, if the policy takes one.
+    void sendWarmUp(const driven_query &query, std::size_t shard);
+    void endWarmUp(std::size_t daemon, std::size_t replica, Core::duration latency, const fake_reply &reply);
     void receive(std::uint64_t number, const Query::send_attempt &attempt, const fake_reply &reply);
     void fail(std::uint64_t number, std::uint64_t attempt, Backend::attempt_failure failure);
     void cancel(std::uint64_t number, const Query::cancel_attempt &attempt);
     [[nodiscard]] bool endCancelled(std::uint64_t key, Query::cancelled_end end);
     void wake(std::uint64_t number, std::uint64_t generation);
     void finish(std::uint64_t number, const Query::query_result &result);
+    /// What the codec makes of a refusal: the kind, and what the replica says of itself.
+    [[nodiscard]] static Backend::failed_attempt failedAttempt(const fake_reply &reply);
     [[nodiscard]] static std::uint64_t attemptKey(std::uint64_t number, std::uint64_t attempt);
 
     driver_settings m_settings;
@@ -109,5 +115,7 @@
     std::set<std::uint64_t> m_openAttempts; ///< Attempts whose reply or timeout has not yet come.
     std::map<std::uint64_t, cancelled_attempt> m_cancelled; ///< Not ended yet; they may outlive their queries.
     std::uint64_t m_nextQuery = 1;
+    std::uint64_t m_warmUps = 0;
+    static constexpr std::uint64_t warmUpBit = 1ULL << 63U; ///< Tells the ids of copies from those of attempts.
 };
 } // namespace Bench
--- a/Libraries/LibBackend/ReplicaChoice.cpp
+++ b/Libraries/LibBackend/ReplicaChoice.cpp
@@ -20,7 +20,7 @@
 static constexpr double mostHintedLoad = 4.0;
 static constexpr std::uint32_t queueDepth = 4;
 
-static bool mayServe(const replica_state &replica, const replica_filter &filter)
+bool mayServe(const replica_state &replica, const replica_filter &filter)
 {
     if (replica.removed || replica.dataCentreOut || replica.reportedLeaving || replica.settings.leaving) {
         return false;
--- /dev/null
+++ b/Libraries/LibBackend/WarmUp.cpp
@@ -0,0 +1,40 @@
+#include "LibBackend/WarmUp.h"
+
+#include "LibBackend/Ownership.h"
+#include "LibBackend/ReplicaChoice.h"
+#include "LibBackend/ReplicaEvents.h"
+#include "LibBackend/ReplicaFilter.h"
+#include "LibBackend/ServiceState.h"
+
+namespace Backend
+{
+/// Hedges and retries come first: copies leave this many tokens to them.
+static constexpr double tokensKept = 50.0;
+
+static bool needsWarmUp(const service_state &service, const replica_state &replica, const replica_filter &filter,
+                        Core::time_point now)
+{
+    if (replica.warmth.level >= warmestLevel || replica.inFlight > 0 || now < replica.avoidUntil) {
+        return false;
+    }
+    return service.coldSlots > 0 && mayServe(replica, filter) && mayWarm(service, replica, now);
+}
+
+std::optional<std::size_t> takeWarmUp(service_state &service, const replica_filter &filter, Core::time_point now)
+{
+    if (service.extraLoad.tokens < tokensKept + 1.0) {
+        return std::nullopt;
+    }
+    const auto found = service.byShard.find(filter.shard);
+    if (found == service.byShard.end()) {
+        return std::nullopt;
+    }
+    for (const std::size_t index : found->second) {
+        if (needsWarmUp(service, service.replicas[index], filter, now) && takeToken(service.extraLoad)) {
+            recordSent(service, index, now);
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+} // namespace Backend
--- a/Services/ragwortcrankd/QueryWorker.cpp
+++ b/Services/ragwortcrankd/QueryWorker.cpp
@@ -12,6 +12,7 @@
 #include "LibQuery/QueryEvents.h"
 #include "LibQuery/ShardRequests.h"
 #include "LibWire/BranchSummary.h"
+#include "MakeShardCall.h"
 #include "RunningQuery.h"
 #include "ServiceShard.h"
 
@@ -28,6 +29,7 @@
     , m_attemptTag(std::to_string(m_random()))
     , m_client(connectionsPerReplica)
     , m_health(daemon, m_client)
+    , m_warmUps(daemon, m_client)
     , m_thread([this] { run(); })
 {
 }
@@ -216,22 +218,6 @@
     ended->task.done(std::move(result));
 }
 
-static Platform::shard_call makeCall(const running_query &running, const Query::send_attempt &attempt,
-                                     std::string address)
-{
-    Platform::shard_call call;
-    call.address = std::move(address);
-    call.shard = running.state.plan.shards[attempt.shard].name;
-    call.route = running.state.plan.route;
-    call.requestId = running.state.plan.requestId;
-    call.attemptId = running.attemptPrefix + std::to_string(attempt.attempt);
-    call.snapshot = running.state.plan.snapshot;
-    call.text = running.task.request.text;
-    call.timeRemaining = attempt.timeRemaining;
-    call.idempotent = running.state.plan.idempotent;
-    return call;
-}
-
 namespace
 {
 /// What the service state says of a replica that is about to be asked.
@@ -274,12 +260,15 @@
     for (const auto &[peer, attempts] : byPeer) {
         startBranch(query, running, peer, attempts);
     }
+    m_warmUps.copy(running, sends);
 }
 
 void query_worker::sendToReplica(std::uint64_t query, running_query &running, const Query::send_attempt &attempt,
                                  std::string address, std::optional<Core::duration> oldestConnection)
 {
-    Platform::shard_call shardCall = makeCall(running, attempt, std::move(address));
+    Platform::shard_call shardCall = makeShardCall(running, attempt.shard, std::move(address));
+    shardCall.attemptId = running.attemptPrefix + std::to_string(attempt.attempt);
+    shardCall.timeRemaining = attempt.timeRemaining;
     shardCall.traceParent =
         running.trace == nullptr ? running.task.request.traceParent : beginShardRequest(running, attempt, m_random);
     Platform::http_call call = Platform::encodeShardCall(shardCall);
--- a/Services/ragwortcrankd/QueryWorker.h
+++ b/Services/ragwortcrankd/QueryWorker.h
@@ -9,6 +9,7 @@
 #include "OpenBranch.h"
 #include "QueryTask.h"
 #include "QueryTimer.h"
+#include "WarmUpRequests.h"
 
 #include <atomic>
 #include <cstdint>
@@ -94,6 +95,7 @@
     const std::string m_attemptTag; ///< Tells this worker's attempts from those of all others.
     Platform::http_client m_client;
     health_requests m_health;
+    warm_up_requests m_warmUps;
     std::map<std::uint64_t, std::unique_ptr<running_query>> m_queries;
     std::map<attempt_key, cancelled_call> m_cancelled;
     std::map<std::uint64_t, open_branch> m_branches;
--- /dev/null
+++ b/Services/ragwortcrankd/WarmUpRequest.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+/// A copy of a first request that a cold replica is to get.
+struct warm_up_request {
+    std::size_t shard = 0; ///< Index in the plan's shards.
+    std::size_t replica = 0; ///< Index in the service state.
+    std::string address;
+    Core::duration timeRemaining {};
+    std::optional<Core::duration> oldestConnection; ///< See Backend::oldestUsableConnection.
+};
--- /dev/null
+++ b/Tests/LibBackend/TestWarmUp.cpp
@@ -0,0 +1,62 @@
+#include "LibBackend/ExtraLoadBudget.h"
+#include "LibBackend/WarmUp.h"
+#include "ServiceFixture.h"
+
+namespace
+{
+/// "a1" is cold and this daemon warms it; "a2" is warm.
+struct warm_up : service_fixture {
+    void SetUp() override
+    {
+        service_fixture::SetUp();
+        Backend::importWarmth(service, {{"a2", 0, 0, "i1", Backend::warmestLevel}}, now);
+        rankForA1(0);
+        passHandOver();
+        Backend::earnTokens(service.extraLoad, 10000);
+    }
+
+    std::optional<std::size_t> take(const Backend::replica_filter &filter = {"a", "", nullptr, {}})
+    {
+        return Backend::takeWarmUp(service, filter, now);
+    }
+};
+} // namespace
+
+TEST_F(warm_up, TheWarmerKeepsOneCopyRunningAtAColdReplica)
+{
+    const auto taken = take();
+    ASSERT_TRUE(taken);
+    EXPECT_EQ(service.replicas[*taken].name, "a1");
+    EXPECT_EQ(replica("a1").inFlight, 1U);
+    EXPECT_FALSE(take()) << "it bears one";
+    Backend::recordAnswer(service, *taken, {"i1", 0.5, true, false}, std::chrono::milliseconds(5), now);
+    EXPECT_TRUE(take());
+}
+
+TEST_F(warm_up, OtherDaemonsAndANewWarmerInItsHandOverSendNone)
+{
+    rankForA1(1);
+    EXPECT_FALSE(take());
+    rankForA1(0);
+    EXPECT_FALSE(take());
+}
+
+TEST_F(warm_up, CopiesLeaveTheBudgetOfHedgesAndRetries)
+{
+    std::uint32_t copies = 0;
+    while (const auto taken = take()) {
+        Backend::recordAnswer(service, *taken, {"i1", 0.5, true, false}, std::chrono::milliseconds(5), now);
+        ++copies;
+    }
+    EXPECT_GT(copies, 0U);
+    EXPECT_GE(service.extraLoad.tokens, 50.0);
+}
+
+TEST_F(warm_up, CopiesGoOnlyWhereTheRequestItselfMayGo)
+{
+    const std::set<std::string> other {"dc2"};
+    EXPECT_FALSE(take({"a", "", &other, {}})) << "the team may not use that data centre";
+    EXPECT_FALSE(take({"a", "v2", nullptr, {}})) << "the query runs on another version";
+    answer("a1", {"i1", 0.5, true, true});
+    EXPECT_FALSE(take()) << "it is leaving";
+}
