ragwortcrankd: Refuse patches to a store that lost the configuration

Cause: with an empty store the first patch was accepted as number 1 while the fleet had 2 in force. No VM would ever take it, and every patch to the number in force was then called stale.

Change: a patch writer that reads a lower number than the one in force writes nothing, answers 503 and logs store_lost_configuration.

Weighed: writing back what is in force by itself. A daemon that missed the last change would write back too little, and the same number would stand for two changes, so the operator picks the VM with the highest number. An operator command that checks the numbers of all VMs first is left for later.

--- a/Services/ragwortcrankd/OperatorCodec.cpp
+++ b/Services/ragwortcrankd/OperatorCodec.cpp
@@ -50,7 +50,9 @@
     case patch_result::Invalid:
         return encodeError(422, "the patch is not valid", answer.findings);
     case patch_result::NotWritten:
-        return refuse(503, "not_written", answer.number, "the store cannot be reached; nothing was written");
+        return refuse(
+            503, "not_written", answer.number,
+            "the store cannot be reached, or holds an older configuration than the one in force; nothing was written");
     case patch_result::Unknown:
         break;
     }
--- a/Services/ragwortcrankd/PatchWriter.cpp
+++ b/Services/ragwortcrankd/PatchWriter.cpp
@@ -2,9 +2,12 @@
 
 #include "AdoptConfiguration.h"
 #include "DaemonState.h"
+#include "LibConfiguration/Adoption.h"
+#include "LibConfiguration/ConfigurationDocument.h"
 #include "LibConfiguration/PatchEvents.h"
 #include "LibConfiguration/PatchId.h"
 #include "LibConfiguration/PatchTransaction.h"
+#include "LibObservability/Log.h"
 
 static constexpr std::chrono::seconds storeTimeout {2};
 
@@ -74,10 +77,29 @@
     }
 }
 
-static Configuration::patch_step readDocument(Platform::store_client &store,
-                                              Configuration::patch_transaction &transaction)
+/// Whether the store holds less than what is in force, and so has lost what it once accepted. A patch to that would be
+/// accepted under a number that no VM takes, or that other VMs know as another change.
+static bool hasLost(const Core::result<Platform::stored_object> &object, std::uint64_t numberInForce)
+{
+    if (!object && object.error().code != Core::error_code::NotFound) {
+        return false;
+    }
+    const std::uint64_t stored = object ? Configuration::readOffered(object.value().body).document.number : 0;
+    if (stored >= numberInForce) {
+        return false;
+    }
+    Observability::logEvent(Observability::log_level::Error, "store_lost_configuration",
+                            {{"number", stored}, {"number_in_force", numberInForce}});
+    return true;
+}
+
+static Configuration::patch_step
+readDocument(Platform::store_client &store, Configuration::patch_transaction &transaction, std::uint64_t numberInForce)
 {
     const Core::result<Platform::stored_object> object = store.read("configuration");
+    if (hasLost(object, numberInForce)) {
+        return Configuration::onReadFailed(transaction);
+    }
     if (object) {
         return Configuration::onRead(transaction, object.value().body, object.value().tag);
     }
@@ -96,7 +118,7 @@
             const Core::result<std::string> written = m_store.write("configuration", *step.text, step.expectedTag);
             step = Configuration::onWritten(transaction, outcomeOf(written));
         } else {
-            step = readDocument(m_store, transaction);
+            step = readDocument(m_store, transaction, m_daemon.configuration.current()->number);
         }
     }
     if (!step.answer->text.empty()) {
--- a/Tests/Processes/TestFleet.cpp
+++ b/Tests/Processes/TestFleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -37,15 +38,10 @@
     }
     makeDocument(options);
     std::ofstream(m_folder + "/configuration.json") << json::serialize(m_document);
-    m_store = std::make_unique<child_process>("Tests/StandIns/standin_store",
-                                              std::vector<std::string> {"--port=" + std::to_string(m_storePort)},
-                                              std::vector<std::string> {}, m_folder + "/store.log");
+    startStore();
     m_backend = std::make_unique<child_process>(
         "Tests/StandIns/standin_backend", std::vector<std::string> {"--config=" + m_folder + "/configuration.json"},
         std::vector<std::string> {}, m_folder + "/backend.log");
-    for (int attempt = 0; attempt < 200 && storeCounters().contains("unreachable"); ++attempt) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
     publishVirtualMachines();
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
     for (int index = 0; index < options.daemons; ++index) {
@@ -62,6 +58,34 @@
     }
 }
 
+void test_fleet::startStore()
+{
+    m_store = std::make_unique<child_process>("Tests/StandIns/standin_store",
+                                              std::vector<std::string> {"--port=" + std::to_string(m_storePort)},
+                                              std::vector<std::string> {}, m_folder + "/store.log");
+    for (int attempt = 0; attempt < 200 && storeCounters().contains("unreachable"); ++attempt) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+}
+
+void test_fleet::loseStore()
+{
+    m_store->signal(SIGKILL);
+    VERIFY(m_store->waitForExit(std::chrono::seconds(5)));
+    startStore();
+}
+
+void test_fleet::restoreConfiguration(int daemon)
+{
+    int status = 0;
+    const json::object document =
+        call("GET", "http://" + daemonAddress(daemon) + "/v1/operator/configuration", "", status);
+    VERIFY(status == 200);
+    call("PUT", "http://127.0.0.1:" + std::to_string(m_storePort) + "/objects/configuration", json::serialize(document),
+         status);
+    VERIFY(status == 200);
+}
+
 test_fleet::~test_fleet()
 {
     m_daemons.clear();
--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -28,6 +28,10 @@
     [[nodiscard]] std::string daemonAddress(int daemon) const;
     child_process &daemon(int daemon);
     child_process &store();
+    /// Kills the store and starts it again; it has kept nothing.
+    void loseStore();
+    /// Puts the configuration that the daemon has in force into the store, as OPERATING.md tells operators to do.
+    void restoreConfiguration(int daemon);
     /// Starts the daemon again after its process has ended.
     void restartDaemon(int daemon);
     /// Waits until the daemon answers /readyz; false after ten seconds.
@@ -66,6 +70,7 @@
 
 private:
     void makeDocument(const fleet_options &options);
+    void startStore();
     void startDaemon(int daemon);
     boost::json::value send(const std::string &method, const std::string &url, const std::string &body, int &status);
     boost::json::object call(const std::string &method, const std::string &url, const std::string &body, int &status);
--- a/Tests/Processes/TestStoreFailures.cpp
+++ b/Tests/Processes/TestStoreFailures.cpp
@@ -65,3 +65,25 @@
     EXPECT_TRUE(fleet.waitUntilReady(2));
     EXPECT_EQ(fleet.numberInForce(2), 2U);
 }
+
+TEST(StoreFailures, StoreThatLostEverythingRevertsNothingAndTakesNoPatch)
+{
+    Processes::test_fleet fleet({});
+    ASSERT_EQ(fleet.patch(0, 1, "second", {{"tier", {{"hedge_budget", 0.01}}}}), 200);
+    ASSERT_TRUE(fleet.waitForNumber(2, 7s));
+    Processes::caller_load load({fleet.daemonAddress(0)}, fleet.teamKey(), 2);
+    fleet.loseStore();
+    EXPECT_EQ(fleet.patch(0, 0, "new", fleet.document()), 503) << "it would be accepted as number 1";
+    EXPECT_EQ(fleet.patch(1, 2, "third", {{"tier", {{"hedge_budget", 0.02}}}}), 503);
+    std::this_thread::sleep_for(3s);
+    EXPECT_TRUE(fleet.waitForNumber(2, 0s));
+    fleet.restoreConfiguration(2);
+    fleet.publishVirtualMachines();
+    EXPECT_EQ(fleet.patch(1, 2, "third", {{"tier", {{"hedge_budget", 0.02}}}}), 200);
+    EXPECT_TRUE(fleet.waitForNumber(3, 7s));
+    const Processes::load_tally tally = load.stop();
+    EXPECT_EQ(tally.count("answered"), tally.milliseconds.size()) << tally.reasonText();
+    EXPECT_EQ(tally.count("not_run") + tally.count("unknown") + tally.count("cut"), 0U) << tally.reasonText();
+    EXPECT_EQ(tally.leastCoverage, 1.0);
+    EXPECT_EQ(tally.wrongAnswers, 0U);
+}
