--- a/Tests/Processes/TestBookings.cpp
+++ b/Tests/Processes/TestBookings.cpp
@@ -51,6 +51,24 @@
     checkBookings(fleet, records);
 }
 
+TEST(Bookings, RunAtMostOnceThroughBranchesWhileAnOwnerIsKilledAndOnePaused)
+{
+    Processes::fleet_options options;
+    options.ownersPerReplica = 1;
+    Processes::test_fleet fleet(options);
+    Processes::booking_load load(allDaemons(fleet), fleet.teamKey(), 4);
+    std::this_thread::sleep_for(1500ms);
+    fleet.daemon(1).signal(SIGKILL);
+    fleet.daemon(1).waitForExit(5s);
+    fleet.daemon(2).signal(SIGSTOP);
+    std::this_thread::sleep_for(2s);
+    fleet.daemon(2).signal(SIGCONT);
+    fleet.restartDaemon(1);
+    std::this_thread::sleep_for(4s);
+    const auto records = load.stop();
+    checkBookings(fleet, records);
+}
+
 TEST(Bookings, RunAtMostOnceWhileBackendServersStaySilentOrShed)
 {
     Processes::test_fleet fleet({});
--- a/Tests/StandIns/BackendServer.cpp
+++ b/Tests/StandIns/BackendServer.cpp
@@ -120,6 +120,7 @@
     const Core::time_point now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
     ++m_received;
+    m_lastRequest = now;
     const std::string traceParent = headerOf(request, "traceparent");
     if (traceParent.ends_with("-01")) {
         m_traceParents.push_back(traceParent);
@@ -252,8 +253,11 @@
     for (const auto &[requestId, count] : m_runs) {
         runs[requestId] = count;
     }
+    const auto quiet =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_lastRequest);
     return json::serialize(json::object {{"runs", std::move(runs)},
                                          {"received", m_received},
+                                         {"since_last_request_ms", quiet.count()},
                                          {"trace_parents", json::array(m_traceParents.begin(), m_traceParents.end())},
                                          {"most_running", m_mostRunning},
                                          {"most_while_cold", m_mostWhileCold}});
--- a/Tests/StandIns/BackendServer.h
+++ b/Tests/StandIns/BackendServer.h
@@ -24,8 +24,8 @@
 namespace StandIns
 {
 /// A stand-in for one replica: slots, a queue, deadlines, cancellation, cold start, and faults set by POST /faults.
-/// GET /runs tells how often each request id was run, how many requests arrived, how many requests it held at once
-/// while it was cold, and the traceparent headers of requests whose trace is sampled.
+/// GET /runs tells how often each request id was run, how many requests arrived and how long ago the last one did, how
+/// many it held at once while it was cold, and the traceparent headers of requests whose trace is sampled.
 class backend_server
 {
 public:
@@ -59,6 +59,7 @@
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_received = 0; ///< Shard requests, refused ones too.
     std::uint64_t m_mostRunning = 0;
+    Core::time_point m_lastRequest = std::chrono::steady_clock::now(); ///< When shard work last arrived, or the start.
     std::vector<std::string> m_traceParents; ///< Of sampled requests, in the order of arrival.
     std::uint64_t m_mostWhileCold = 0; ///< Requests held at once since it was last told to be cold.
     bool m_stopping = false;
