ragwortcrankctl: Show a rollout's evidence; Tests: Take back a bad version with real daemons

Cause: `rollout status` said only what the document holds. No test ran a rollout with processes, nor a row that was folded too early, nor withdraw(). How late a fleet of 590 daemons is was not measured. Change: the status shows the verdict, the share and the evidence of GET /v1/operator/rollouts/{service}. A process test starts a failing version by the command: it is taken back, no query fails 3 s after the verdict and it never ends as done; then a good one ends as done. The bench shows the rows of 590 daemons.

--- a/Benchmarks/Policy/Rollout.cpp
+++ b/Benchmarks/Policy/Rollout.cpp
@@ -68,6 +68,31 @@
                            1.0, seeds));
 }
 
+/// Shows how late a fleet is whose evidence is a sample of its daemons.
+static void addLargeFleet(std::vector<bench_row> &rows)
+{
+    const std::vector<std::uint64_t> seeds {1, 2, 3};
+    for (const version_fault fault : {version_fault::Fails, version_fault::Slow}) {
+        rollout_case settings;
+        settings.fault = fault;
+        settings.daemonCount = 590;
+        settings.queriesPerSecond = 2000.0;
+        settings.length = std::chrono::seconds(20);
+        double mostAfter = 0.0;
+        for (const std::uint64_t seed : seeds) {
+            settings.seed = seed;
+            mostAfter = std::max(mostAfter, static_cast<double>(rollout_fleet(settings).run().newAfterBound));
+        }
+        rows.push_back({"queries on it 3 s after its 20th faulty answer",
+                        nameOf(settings) + ", 590 daemons",
+                        {},
+                        mostAfter,
+                        "",
+                        true,
+                        seeds});
+    }
+}
+
 static void addGoodVersion(std::vector<bench_row> &rows)
 {
     constexpr std::uint64_t seedCount = 1000;
@@ -101,6 +126,7 @@
             addBadVersion(settings, rows);
         }
     }
+    addLargeFleet(rows);
     addGoodVersion(rows);
     return rows;
 }
--- a/Benchmarks/Policy/RolloutCase.h
+++ b/Benchmarks/Policy/RolloutCase.h
@@ -4,6 +4,7 @@
 #include "Policy/FaultTime.h"
 #include "Policy/VersionFault.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace Bench
@@ -16,6 +17,7 @@
     Core::duration length {std::chrono::seconds(300)};
     Core::duration exchangeInterval {std::chrono::milliseconds(250)};
     double queriesPerSecond = 200.0;
+    std::size_t daemonCount = 9;
     bool troubles = false; ///< A general slow-down and a bad data centre, at random times, for both versions.
     bool judges = true; ///< False is the baseline: the share grows with time alone.
 };
--- a/Benchmarks/Policy/RolloutFleet.cpp
+++ b/Benchmarks/Policy/RolloutFleet.cpp
@@ -13,7 +13,6 @@
 {
 using Rollout::version_side;
 
-static constexpr std::size_t daemonCount = 9;
 static constexpr std::size_t dataCentreCount = 3;
 static constexpr std::uint64_t faultsThatShow = 20;
 static constexpr std::chrono::seconds boundAfterShown {3};
@@ -21,13 +20,13 @@
 rollout_fleet::rollout_fleet(const rollout_case &settings)
     : m_case(settings)
     , m_random(settings.seed)
-    , m_daemons(daemonCount)
+    , m_daemons(settings.daemonCount)
     , m_now(std::chrono::seconds(1'700'000'000 + settings.seed * 977))
 {
     const auto length = std::chrono::duration_cast<Core::wall_time::duration>(settings.length);
     m_service.version = "v1";
     m_service.rollout = {settings.seed, "v1", "v2", m_now, m_now + length, false};
-    for (std::size_t index = 0; index < daemonCount; ++index) {
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         m_daemons[index].own.counts.dataCentre = static_cast<std::uint32_t>(index % dataCentreCount);
     }
     m_slowDown = drawPeriod();
@@ -91,7 +90,7 @@
 
 void rollout_fleet::serveQuery()
 {
-    const std::size_t index = m_random() % daemonCount;
+    const std::size_t index = m_random() % m_daemons.size();
     daemon &at = m_daemons[index];
     const std::string version = Rollout::chooseVersion(m_service, at.share, std::to_string(m_nextQuery++));
     const bool isNew = version == m_service.rollout->toVersion;
@@ -121,12 +120,12 @@
 
 void rollout_fleet::exchange()
 {
-    for (std::size_t index = 0; index < daemonCount; ++index) {
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
         daemon &own = m_daemons[index];
         Rollout::mergeDaemon(own.held, index + 1, own.own.counts);
     }
     for (daemon &own : m_daemons) {
-        daemon &peer = m_daemons[m_random() % daemonCount];
+        daemon &peer = m_daemons[m_random() % m_daemons.size()];
         Rollout::mergeEvidence(peer.held, own.held);
         Rollout::mergeEvidence(own.held, peer.held);
     }
--- a/Benchmarks/Policy/RolloutFleet.h
+++ b/Benchmarks/Policy/RolloutFleet.h
@@ -12,7 +12,7 @@
 
 namespace Bench
 {
-/// Nine daemons in three data centres that carry out one rollout on virtual time and exchange evidence in pairs.
+/// Daemons in three data centres that carry out one rollout on virtual time and exchange evidence in pairs.
 class rollout_fleet
 {
 public:
--- a/Tests/LibTeams/TestAccounts.cpp
+++ b/Tests/LibTeams/TestAccounts.cpp
@@ -36,3 +36,19 @@
     EXPECT_EQ(Teams::decodePage(Teams::encodePage(page)).value(), page);
     EXPECT_FALSE(Teams::decodePage("{\"past\":{},\"rows\":{\"x\":{}}}"));
 }
+
+TEST(Accounts, ARowFoldedTooEarlyIsNotCountedTwice)
+{
+    const Core::wall_time now {hours(500000)};
+    Teams::account_page page;
+    const Teams::account_row written = rowAt(10, now - Teams::accountRowLife);
+    Teams::putRow(page, 1, written);
+    Teams::foldRows(page, now);
+    ASSERT_TRUE(page.rows.empty());
+    // The daemon was only silent. It goes on from what it had written.
+    const Teams::account_row later = rowAt(12, now);
+    Teams::putRow(page, 1, {Teams::accountsSince(later.teams, written.teams), now});
+    EXPECT_EQ(Teams::pageTotals(page).at("a").queries, 12U);
+    EXPECT_EQ(Teams::pageTotals(page).at("a").shardRequests, 96U);
+    EXPECT_EQ(Teams::accountsSince(written.teams, later.teams).at("a").queries, 0U) << "never below zero";
+}
--- a/Tests/LibTeams/TestAdmission.cpp
+++ b/Tests/LibTeams/TestAdmission.cpp
@@ -26,6 +26,26 @@
     EXPECT_GT(refused[2], refused[1]);
 }
 
+TEST(Admission, AWithdrawnQueryLeavesNothingBehind)
+{
+    Teams::team_admission kept;
+    Teams::team_admission withdrawn;
+    kept.factor = withdrawn.factor = 0.5;
+    static_cast<void>(Teams::admit(kept, priority_class::Lookup, 1.0));
+    static_cast<void>(Teams::admit(withdrawn, priority_class::Lookup, 1.0));
+    int admitted = 0;
+    int again = 0;
+    for (int query = 0; query < 1000; ++query) {
+        admitted += Teams::admit(kept, priority_class::Lookup, 8.0) ? 0 : 1;
+        if (!Teams::admit(withdrawn, priority_class::Lookup, 8.0)) {
+            Teams::withdraw(withdrawn, 8.0);
+            ++again;
+        }
+    }
+    EXPECT_NEAR(admitted, 500, 20);
+    EXPECT_GT(again, 900) << "the credit must come back";
+}
+
 TEST(Admission, LargeQueriesAreAdmittedAsOftenAsSmallOnes)
 {
     Teams::team_admission team;
--- a/Tests/Processes/TestOperatorCommands.cpp
+++ b/Tests/Processes/TestOperatorCommands.cpp
@@ -1,3 +1,4 @@
+#include "Processes/CallerLoad.h"
 #include "Processes/ChildProcess.h"
 #include "Processes/FreePort.h"
 #include "Processes/TestFleet.h"
@@ -8,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <thread>
 
 using namespace std::chrono_literals;
 
@@ -19,7 +21,7 @@
 };
 
 struct operator_commands : testing::Test {
-    Processes::test_fleet fleet {{}};
+    Processes::test_fleet fleet {{.replicasPerShard = 6, .daemonFlags = {}}};
     std::string folder;
 
     void SetUp() override
@@ -50,6 +52,23 @@
         return result;
     }
 
+    /// Waits until the rollout of the service "search" is in one of these states, and returns the report.
+    std::string waitForRollout(const std::vector<std::string> &states, Core::duration longest) const
+    {
+        const auto until = std::chrono::steady_clock::now() + longest;
+        std::string report;
+        while (std::chrono::steady_clock::now() < until) {
+            report = run({"rollout", "status", "search", "--output=json"}).output;
+            for (const std::string &state : states) {
+                if (report.find("\"state\":\"" + state + "\"") != std::string::npos) {
+                    return report;
+                }
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        return report;
+    }
+
     std::string writeFile(const std::string &text) const
     {
         std::ofstream(folder + "/patch.json") << text;
@@ -100,3 +119,35 @@
     EXPECT_EQ(run({"config", "patch", patch, "--base=1", "--patch_id=1-s"}).output, "change 2 accepted\n");
     EXPECT_TRUE(fleet.waitForNumber(2, 7s));
 }
+
+TEST_F(operator_commands, ABadVersionIsTakenBackAndAGoodOneEndsDone)
+{
+    boost::json::object replicas;
+    for (const std::string &name : fleet.replicaNames()) {
+        if (name.back() >= '3') {
+            replicas[name] = boost::json::object {{"version", "v2"}};
+            fleet.setBackendFaults(name, {{"failing", true}});
+        }
+    }
+    const boost::json::object service {{"replicas", replicas}};
+    ASSERT_EQ(fleet.patch(0, 1, "1-versions", {{"services", boost::json::object {{"search", service}}}}), 200);
+    ASSERT_TRUE(fleet.waitForNumber(2, 7s));
+    Processes::caller_load load({fleet.daemonAddress(0), fleet.daemonAddress(1), fleet.daemonAddress(2)},
+                                fleet.teamKey(), 4);
+    ASSERT_EQ(run({"rollout", "start", "search", "v2", "--deadline_in=30"}).exitCode, 0);
+    const std::string bad = waitForRollout({"bad", "taken_back"}, 20s);
+    EXPECT_NE(bad.find("\"new_errors\":"), std::string::npos) << bad;
+    std::this_thread::sleep_for(3s);
+    static_cast<void>(load.take());
+    std::this_thread::sleep_for(1s);
+    const Processes::load_tally later = load.take();
+    EXPECT_GT(later.count("answered"), 0U);
+    EXPECT_EQ(later.outcomes.size(), 1U) << "new work went to it 3 s after the verdict: " << later.reasonText();
+    const std::string closed = waitForRollout({"taken_back", "done"}, 7s);
+    EXPECT_NE(closed.find("\"state\":\"taken_back\""), std::string::npos) << closed;
+
+    fleet.setAllBackendFaults({{"failing", false}});
+    ASSERT_EQ(run({"rollout", "start", "search", "v2", "--deadline_in=6"}).exitCode, 0);
+    const std::string done = waitForRollout({"done", "bad", "taken_back"}, 15s);
+    EXPECT_NE(done.find("\"state\":\"done\""), std::string::npos) << done;
+}
--- a/Utilities/ragwortcrankctl/RolloutCommands.cpp
+++ b/Utilities/ragwortcrankctl/RolloutCommands.cpp
@@ -5,10 +5,13 @@
 #include "Session.h"
 
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <optional>
+#include <utility>
 
 DEFINE_int32(start_in, 0, "seconds from now to the start of a rollout");
 DEFINE_int32(deadline_in, 1800, "seconds from now by which a good version has all traffic");
@@ -37,6 +40,43 @@
     return now < service.rollout->deadline ? "running" : "past_deadline";
 }
 
+/// Returns what the daemon that answers knows of a rollout, or nothing if it can't say.
+static std::optional<json::object> readReport(session &current, const std::string &service)
+{
+    const Platform::call_outcome outcome = current.client.send("GET", "/v1/operator/rollouts/" + service);
+    if (!isAnswered(outcome)) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const json::value report = json::parse(outcome.response.body, error);
+    return error || !report.is_object() ? std::nullopt : std::optional(report.get_object());
+}
+
+/// Adds the verdict, which may be "bad" before the document says taken_back, the share and the evidence.
+static void addReport(json::object &row, const json::object &report)
+{
+    if (const json::value *state = report.if_contains("state"); state != nullptr && *state == "bad") {
+        row["state"] = *state;
+    }
+    for (const char *member : {"new_share", "evidence"}) {
+        if (const json::value *value = report.if_contains(member)) {
+            row[member] = *value;
+        }
+    }
+}
+
+static void printRollout(const json::object &row)
+{
+    std::cout << row.at("service").as_string() << "  rollout " << row.at("number") << "  "
+              << row.at("from_version").as_string() << " -> " << row.at("to_version").as_string() << "  "
+              << row.at("state").as_string() << '\n';
+    for (const char *member : {"new_share", "evidence"}) {
+        if (const json::value *value = row.if_contains(member)) {
+            std::cout << "  " << member << ": " << json::serialize(*value) << '\n';
+        }
+    }
+}
+
 static exit_code showRollouts(session &current, const std::string &wanted)
 {
     exit_code code = exit_code::Success;
@@ -52,17 +92,20 @@
         if (!service.rollout || (!wanted.empty() && name != wanted)) {
             continue;
         }
-        rows.push_back(json::object {{"service", name},
-                                     {"number", service.rollout->number},
-                                     {"change", service.rollout->change},
-                                     {"from_version", service.rollout->fromVersion},
-                                     {"to_version", service.rollout->toVersion},
-                                     {"deadline", secondsOf(service.rollout->deadline)},
-                                     {"state", stateOf(service)}});
+        json::object row {{"service", name},
+                          {"number", service.rollout->number},
+                          {"change", service.rollout->change},
+                          {"from_version", service.rollout->fromVersion},
+                          {"to_version", service.rollout->toVersion},
+                          {"deadline", secondsOf(service.rollout->deadline)},
+                          {"state", stateOf(service)}};
+        if (const auto report = readReport(current, name)) {
+            addReport(row, *report);
+        }
         if (current.format == output_format::Text) {
-            std::cout << name << "  rollout " << service.rollout->number << "  " << service.rollout->fromVersion
-                      << " -> " << service.rollout->toVersion << "  " << stateOf(service) << '\n';
+            printRollout(row);
         }
+        rows.push_back(std::move(row));
     }
     if (current.format == output_format::Json) {
         std::cout << json::serialize(rows) << '\n';
