Tests: Find in the store what was drawn, after a planned stop

Cause: that the last write of a planned stop holds every query was proven by no run with processes. Change: callers run for two seconds, all daemons are stopped, and a daemon that starts anew must report, from the store's pages, exactly as many queries as were sent. Conclusion: a planned stop loses nothing of the accounts. Lost replies and killed daemons aren't covered by a process test yet.

--- a/Tests/Processes/TestOperatorCommands.cpp
+++ b/Tests/Processes/TestOperatorCommands.cpp
@@ -3,12 +3,15 @@
 #include "Processes/FreePort.h"
 #include "Processes/TestFleet.h"
 
+#include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <numeric>
 #include <thread>
 
 using namespace std::chrono_literals;
@@ -151,3 +154,33 @@
     const std::string done = waitForRollout({"done", "bad", "taken_back"}, 15s);
     EXPECT_NE(done.find("\"state\":\"done\""), std::string::npos) << done;
 }
+
+TEST_F(operator_commands, AccountsHoldAllThatWasDrawnAfterAPlannedStop)
+{
+    Processes::caller_load load({fleet.daemonAddress(0), fleet.daemonAddress(1), fleet.daemonAddress(2)},
+                                fleet.teamKey(), 4);
+    std::this_thread::sleep_for(2s);
+    const Processes::load_tally tally = load.stop();
+    const std::uint64_t sent =
+        std::accumulate(tally.outcomes.begin(), tally.outcomes.end(), std::uint64_t {0},
+                        [](std::uint64_t sum, const auto &outcome) { return sum + outcome.second; });
+    ASSERT_GT(tally.count("answered"), 0U);
+    for (int daemon = 0; daemon < 3; ++daemon) {
+        fleet.daemon(daemon).signal(SIGTERM);
+    }
+    for (int daemon = 0; daemon < 3; ++daemon) {
+        ASSERT_TRUE(fleet.daemon(daemon).waitForExit(30s));
+    }
+    fleet.restartDaemon(1);
+    ASSERT_TRUE(fleet.waitUntilReady(1));
+    // The daemon reads the pages when it is asked, and shows them the next time.
+    std::uint64_t held = 0;
+    for (int attempt = 0; attempt < 20 && held == 0; ++attempt) {
+        std::this_thread::sleep_for(200ms);
+        const boost::json::value report = boost::json::parse(run({"accounts", "--output=json"}).output);
+        if (const boost::json::value *team = report.at("teams").as_object().if_contains("team")) {
+            held = team->at("queries").to_number<std::uint64_t>() + team->at("refused").to_number<std::uint64_t>();
+        }
+    }
+    EXPECT_EQ(held, sent);
+}
