LibQuery: Ask the nearer half of a shard's owners

Cause: a root drew from all owners alike, half of which are in the other region at the target. Change: it draws two from the nearer half of the healthy owners, in the order of the view. Test seen to fail without the change.

--- a/Benchmarks/Capacity/MeasureQueries.cpp
+++ b/Benchmarks/Capacity/MeasureQueries.cpp
@@ -131,6 +131,9 @@
         Core::time_point now {std::chrono::hours(1)};
         Backend::applyConfiguration(service, document, document.services.at("search"), now);
         Backend::applyOwnership(service, Membership::computeOwnership(fleet, document, "search"), now);
+        for (Backend::replica_state &replica : service.replicas) {
+            replica.warmth.level = Backend::warmestLevel;
+        }
         Core::random_engine random(1);
         Query::query_state query;
         query.plan = makePlan(document, now);
--- a/Libraries/LibQuery/ChoosePeer.cpp
+++ b/Libraries/LibQuery/ChoosePeer.cpp
@@ -73,7 +73,11 @@
     if (owners.empty()) {
         return {};
     }
-    std::uniform_int_distribution<std::size_t> draw(0, owners.size() - 1);
+    // Near owners come first in the view. With two regions the nearer half is this daemon's own region, which saves the
+    // delay between regions; two are kept so that the less loaded one can be taken.
+    constexpr std::size_t leastChoice = 2;
+    const std::size_t near = std::min(owners.size(), std::max(leastChoice, (owners.size() + 1) / 2));
+    std::uniform_int_distribution<std::size_t> draw(0, near - 1);
     const std::string &first = *owners[draw(random)];
     const std::string &second = *owners[draw(random)];
     const std::string &chosen = inFlightAt(service, first) <= inFlightAt(service, second) ? first : second;
--- a/Tests/LibQuery/TestRootAndBranch.cpp
+++ b/Tests/LibQuery/TestRootAndBranch.cpp
@@ -24,6 +24,18 @@
     }
 }
 
+TEST_F(root_and_branch, NearOwnersAreAskedWhileTheyAreHealthy)
+{
+    prepare(1);
+    ownBy({"near-1", "near-2", "far-1", "far-2"});
+    for (int turn = 0; turn < 50; ++turn) {
+        Query::query_state each;
+        each.plan = query.plan;
+        const auto started = Query::startQuery(each, service, now, random);
+        EXPECT_TRUE(started.sends[0].target.peer.starts_with("near")) << started.sends[0].target.peer;
+    }
+}
+
 TEST_F(root_and_branch, RequestsOfABranchAreCountedOnceAsTheBranchReportsThem)
 {
     prepare(2);
