--- a/Benchmarks/Capacity/MeasureBranches.cpp
+++ b/Benchmarks/Capacity/MeasureBranches.cpp
@@ -5,7 +5,7 @@
 #include "LibWire/PeerNetwork.h"
 #include "LibWire/PeerNetworkOptions.h"
 #include "Measures.h"
-#include "ProcessorTime.h"
+#include "Support/ProcessorTime.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -42,7 +42,7 @@
     std::condition_variable wake;
     int running = 0;
     constexpr int inFlight = 64;
-    const Core::duration start = processProcessorTime();
+    const Core::duration start = Bench::processProcessorTime();
     std::unique_lock lock(mutex);
     for (int call = 0; call < calls; ++call) {
         wake.wait(lock, [&] { return running < inFlight; });
@@ -57,7 +57,7 @@
             });
     }
     wake.wait(lock, [&] { return running == 0; });
-    return processProcessorTime() - start;
+    return Bench::processProcessorTime() - start;
 }
 
 std::vector<measurement> measureBranches()
--- a/Benchmarks/Capacity/MeasureConfiguration.cpp
+++ b/Benchmarks/Capacity/MeasureConfiguration.cpp
@@ -3,9 +3,9 @@
 #include "LibConfiguration/ApplyPatch.h"
 #include "LibConfiguration/Parse.h"
 #include "LibConfiguration/PatchRequest.h"
-#include "LiveMemory.h"
 #include "Measures.h"
-#include "ProcessorTime.h"
+#include "Support/LiveMemory.h"
+#include "Support/ProcessorTime.h"
 #include "Support/TargetSizeDocument.h"
 
 #include <algorithm>
@@ -28,19 +28,19 @@
         const Configuration::patch_request request {
             document.number, std::to_string(document.number) + "-0123456789abcdef0123456789abcdef",
             R"({"tier":{"hedge_budget":0.04}})"};
-        std::int64_t before = liveBytes();
+        std::int64_t before = Bench::liveBytes();
         auto parsed = std::make_unique<Configuration::parsed_document>(Configuration::parseDocument(text));
-        memory.values.push_back(static_cast<double>(liveBytes() - before));
+        memory.values.push_back(static_cast<double>(Bench::liveBytes() - before));
         size.values.push_back(static_cast<double>(text.size()));
-        parse.values.push_back(
-            Core::toMilliseconds(measureRuns(5, [&] { static_cast<void>(Configuration::parseDocument(text)); })));
-        patch.values.push_back(
-            Core::toMilliseconds(measureRuns(3, [&] { static_cast<void>(Configuration::applyPatch(text, request)); })));
-        before = liveBytes();
+        parse.values.push_back(Core::toMilliseconds(
+            Bench::measureRuns(5, [&] { static_cast<void>(Configuration::parseDocument(text)); })));
+        patch.values.push_back(Core::toMilliseconds(
+            Bench::measureRuns(3, [&] { static_cast<void>(Configuration::applyPatch(text, request)); })));
+        before = Bench::liveBytes();
         Backend::service_state service;
         Backend::applyConfiguration(service, document, document.services.at("search"), {});
-        state.values.push_back(static_cast<double>(liveBytes() - before));
-        apply.values.push_back(Core::toMilliseconds(measureRuns(
+        state.values.push_back(static_cast<double>(Bench::liveBytes() - before));
+        apply.values.push_back(Core::toMilliseconds(Bench::measureRuns(
             5, [&] { Backend::applyConfiguration(service, document, document.services.at("search"), {}); })));
         for (measurement *each : {&size, &parse, &patch, &apply, &memory, &state}) {
             each->sizes.push_back(static_cast<double>(replicas));
--- a/Benchmarks/Capacity/MeasureExchanges.cpp
+++ b/Benchmarks/Capacity/MeasureExchanges.cpp
@@ -8,7 +8,7 @@
 #include "LibTeams/UsageExchange.h"
 #include "LibWire/GossipSize.h"
 #include "Measures.h"
-#include "ProcessorTime.h"
+#include "Support/ProcessorTime.h"
 #include "Support/TargetSizeDocument.h"
 
 #include <algorithm>
@@ -47,7 +47,7 @@
         const Membership::gossip_message reply {"vm-589", 0, 0, {}, {}, {}, {}};
         rate.values.push_back(static_cast<double>(Wire::gossipSize(message) + Wire::gossipSize(reply))
                               / period.values.back());
-        const Core::duration each = measureRuns(50, [&] {
+        const Core::duration each = Bench::measureRuns(50, [&] {
             const auto received = Teams::decodeUsage(Teams::encodeUsage(Teams::splitUsage(first)));
             Teams::mergeUsage(second, *received, now);
             const auto back = Teams::decodeUsage(Teams::encodeUsage(Teams::splitUsage(second)));
@@ -75,7 +75,7 @@
         const auto records = Backend::exportWarmth(service, Core::time_point::min());
         time.sizes.push_back(static_cast<double>(replicas));
         time.values.push_back(
-            Core::toMilliseconds(measureRuns(5, [&] { Backend::importWarmth(service, records, {}); })));
+            Core::toMilliseconds(Bench::measureRuns(5, [&] { Backend::importWarmth(service, records, {}); })));
     }
     return {time};
 }
--- a/Benchmarks/Capacity/MeasureHttp.cpp
+++ b/Benchmarks/Capacity/MeasureHttp.cpp
@@ -11,7 +11,7 @@
 #include "LibPlatform/ShardCall.h"
 #include "LibQuery/ShardAnswer.h"
 #include "Measures.h"
-#include "ProcessorTime.h"
+#include "Support/ProcessorTime.h"
 
 namespace Capacity
 {
@@ -47,14 +47,14 @@
             startOne();
         });
     };
-    const Core::duration start = threadProcessorTime();
+    const Core::duration start = Bench::threadProcessorTime();
     for (int index = 0; index < inFlight; ++index) {
         startOne();
     }
     while (ended < calls) {
         client.run(std::chrono::milliseconds(100));
     }
-    return threadProcessorTime() - start;
+    return Bench::threadProcessorTime() - start;
 }
 
 std::vector<measurement> measureHttp()
@@ -75,9 +75,9 @@
     constexpr int inFlight = 64;
     sendCalls(2000, inFlight);
     for (const int calls : {5'000, 10'000, 20'000, 40'000}) {
-        const Core::duration allBefore = processProcessorTime();
+        const Core::duration allBefore = Bench::processProcessorTime();
         const Core::duration clientTime = sendCalls(calls, inFlight);
-        const Core::duration serverTime = processProcessorTime() - allBefore - clientTime;
+        const Core::duration serverTime = Bench::processProcessorTime() - allBefore - clientTime;
         client.sizes.push_back(calls);
         client.values.push_back(Core::toMilliseconds(clientTime));
         entry.sizes.push_back(calls);
--- a/Benchmarks/Capacity/MeasureOwnership.cpp
+++ b/Benchmarks/Capacity/MeasureOwnership.cpp
@@ -6,8 +6,9 @@
 #include "LibMembership/Fleet.h"
 #include "LibMembership/RendezvousWeight.h"
 #include "Measures.h"
-#include "ProcessorTime.h"
+#include "Support/ProcessorTime.h"
 #include "Support/TargetSizeDocument.h"
+#include "Support/TargetSizeFleet.h"
 
 #include <algorithm>
 #include <map>
@@ -16,20 +17,6 @@
 
 namespace Capacity
 {
-static Membership::fleet makeFleet(std::size_t members)
-{
-    Membership::fleet fleet;
-    fleet.self = "vm-0";
-    for (std::size_t index = 0; index < members; ++index) {
-        Membership::fleet_member member;
-        member.name = "vm-" + std::to_string(index);
-        member.hash = Membership::hashName(member.name);
-        member.dataCentre = "dc-" + std::to_string(index % 4);
-        fleet.members.push_back(std::move(member));
-    }
-    return fleet;
-}
-
 /// Returns how many of the 520 shards each daemon of the fleet owns.
 static std::vector<std::size_t> countOwned(Membership::fleet fleet,
                                            const Configuration::configuration_document &document)
@@ -52,7 +39,7 @@
                       1};
     measurement idle {"branch", "daemons of 590 that own nothing", "daemons", "shards a group", {}, {}, 16, 1};
     auto document = Bench::targetSizeDocument(4600, 520);
-    const Membership::fleet fleet = makeFleet(590);
+    const Membership::fleet fleet = Bench::targetSizeFleet(590);
     for (const std::uint32_t shardsPerGroup : {2U, 4U, 8U, 16U}) {
         document.tier.shardsPerGroup = shardsPerGroup;
         const std::vector<std::size_t> counts = countOwned(fleet, document);
@@ -110,7 +97,7 @@
         "branch", "groups that move between staying daemons when one goes", "groups", "daemons", {}, {}, 590, 9};
     auto document = Bench::targetSizeDocument(4600, 520);
     for (const std::size_t members : {59U, 148U, 295U, 590U}) {
-        const Membership::fleet whole = makeFleet(members);
+        const Membership::fleet whole = Bench::targetSizeFleet(members);
         std::size_t changes = 0;
         constexpr std::size_t losses = 20;
         for (std::size_t loss = 0; loss < losses; ++loss) {
@@ -132,14 +119,14 @@
         "membership", "ownership of 4,600 replicas, on each change of members", "ms", "daemons", {}, {}, 590, 9};
     measurement apply {"health", "take a new ownership", "ms", "daemons", {}, {}, 590, 9};
     for (const std::size_t members : {59U, 148U, 295U, 590U}) {
-        const Membership::fleet fleet = makeFleet(members);
+        const Membership::fleet fleet = Bench::targetSizeFleet(members);
         const Backend::ownership_view view = Membership::computeOwnership(fleet, document, "search");
-        compute.values.push_back(Core::toMilliseconds(
-            measureRuns(3, [&] { static_cast<void>(Membership::computeOwnership(fleet, document, "search")); })));
+        compute.values.push_back(Core::toMilliseconds(Bench::measureRuns(
+            3, [&] { static_cast<void>(Membership::computeOwnership(fleet, document, "search")); })));
         Backend::service_state service;
         Backend::applyConfiguration(service, document, document.services.at("search"), {});
         apply.values.push_back(
-            Core::toMilliseconds(measureRuns(3, [&] { Backend::applyOwnership(service, view, {}); })));
+            Core::toMilliseconds(Bench::measureRuns(3, [&] { Backend::applyOwnership(service, view, {}); })));
         for (measurement *each : {&compute, &apply}) {
             each->sizes.push_back(static_cast<double>(members));
         }
--- a/Benchmarks/Policy/Main.cpp
+++ b/Benchmarks/Policy/Main.cpp
@@ -38,6 +38,7 @@
     scenario {"truth", Bench::runTruth},
     scenario {"query_overload", Bench::runQueryOverload},
     scenario {"membership", Bench::runMembership},
+    scenario {"counts", Bench::runCounts},
 };
 
 std::string seedsText(const Bench::bench_row &row)
--- a/Benchmarks/Policy/Scenarios.h
+++ b/Benchmarks/Policy/Scenarios.h
@@ -38,4 +38,7 @@
 
 /// Membership and configuration of 590 daemons: losses, slow members, parted regions, replaced VMs.
 [[nodiscard]] std::vector<bench_row> runMembership();
+
+/// What is counted the same way on each run at the target's size: allocations, messages, bytes, connections, calls.
+[[nodiscard]] std::vector<bench_row> runCounts();
 } // namespace Bench
--- a/Benchmarks/Support/LiveMemory.cpp
+++ b/Benchmarks/Support/LiveMemory.cpp
@@ -1,4 +1,4 @@
-#include "LiveMemory.h"
+#include "Support/LiveMemory.h"
 
 #include <malloc.h>
 
@@ -8,6 +8,7 @@
 
 static std::atomic<std::int64_t> liveCount {0};
 static std::atomic<std::uint64_t> allocations {0};
+static std::atomic<std::uint64_t> givenOut {0};
 
 static void *allocate(std::size_t size)
 {
@@ -15,7 +16,9 @@
     if (memory == nullptr) {
         throw std::bad_alloc();
     }
-    liveCount += static_cast<std::int64_t>(malloc_usable_size(memory));
+    const std::size_t usable = malloc_usable_size(memory);
+    liveCount += static_cast<std::int64_t>(usable);
+    givenOut += usable;
     ++allocations;
     return memory;
 }
@@ -58,7 +61,7 @@
     release(memory);
 }
 
-namespace Capacity
+namespace Bench
 {
 std::int64_t liveBytes()
 {
@@ -69,4 +72,9 @@
 {
     return allocations;
 }
-} // namespace Capacity
+
+std::uint64_t allocatedBytes()
+{
+    return givenOut;
+}
+} // namespace Bench
--- a/Benchmarks/Support/ProcessorTime.cpp
+++ b/Benchmarks/Support/ProcessorTime.cpp
@@ -1,9 +1,9 @@
-#include "ProcessorTime.h"
+#include "Support/ProcessorTime.h"
 
 #include <algorithm>
 #include <ctime>
 
-namespace Capacity
+namespace Bench
 {
 static Core::duration readClock(clockid_t clock)
 {
@@ -35,4 +35,4 @@
     }
     return least;
 }
-} // namespace Capacity
+} // namespace Bench
--- a/Benchmarks/Support/ProcessorTime.h
+++ b/Benchmarks/Support/ProcessorTime.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-namespace Capacity
+namespace Bench
 {
 /// Processor time that the calling thread has used.
 [[nodiscard]] Core::duration threadProcessorTime();
@@ -13,4 +13,4 @@
 
 /// Runs `work` several times and returns the thread's processor time of one run, the least of three tries.
 [[nodiscard]] Core::duration measureRuns(int runs, const std::function<void()> &work);
-} // namespace Capacity
+} // namespace Bench
--- a/Libraries/LibTeams/Accounts.h
+++ b/Libraries/LibTeams/Accounts.h
@@ -15,6 +15,8 @@
 /// A row that was not written for so long belongs to a daemon that is gone; it is added to the page's past. A daemon
 /// that could not write for half of it takes a new incarnation's row, so that nothing counts twice.
 inline constexpr std::chrono::hours accountRowLife {48};
+/// A daemon writes its accounts at most so often, but for the last time when it stops.
+inline constexpr std::chrono::minutes accountFlushInterval {5};
 
 /// Returns the key of the store object that a daemon's row belongs to.
 [[nodiscard]] std::string accountPageKey(std::uint64_t incarnation);
--- a/Services/ragwortcrankd/AccountsFlusher.cpp
+++ b/Services/ragwortcrankd/AccountsFlusher.cpp
@@ -15,7 +15,6 @@
 using Observability::log_level;
 
 static constexpr std::chrono::seconds storeTimeout {2};
-static constexpr std::chrono::minutes flushInterval {5};
 static constexpr std::chrono::seconds shortestReadInterval {5};
 /// A row is written at least so often, so that it is not taken for that of a daemon that is gone.
 static constexpr std::chrono::hours longestSilence {12};
@@ -48,7 +47,8 @@
 void accounts_flusher::run()
 {
     // Daemons that start together write at different times.
-    const auto offset = std::chrono::seconds(m_daemon.incarnation % std::chrono::seconds(flushInterval).count());
+    const auto offset =
+        std::chrono::seconds(m_daemon.incarnation % std::chrono::seconds(Teams::accountFlushInterval).count());
     auto nextFlush = std::chrono::steady_clock::now() + offset;
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
@@ -57,7 +57,7 @@
         lock.unlock();
         if (std::chrono::steady_clock::now() >= nextFlush) {
             flush();
-            nextFlush = std::chrono::steady_clock::now() + flushInterval;
+            nextFlush = std::chrono::steady_clock::now() + Teams::accountFlushInterval;
         }
         if (read) {
             readAll();
