LibWire: Take an answer whose scores are not numbers as faulty

Cause: a peer's answer carries scores as binary numbers; one that is not a number has no place in the order by score, and sorting such items is undefined. Change: the decoder gives the shard as failed (Faulty) in place of the answer. Conclusion: no other decoder can yield such a score; JSON has none.

--- a/Libraries/LibWire/BranchCodec.cpp
+++ b/Libraries/LibWire/BranchCodec.cpp
@@ -3,6 +3,7 @@
 #include "LibWire/TextCodec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Wire
 {
@@ -82,7 +83,6 @@
         failureList[index].setShard(textOf(answers.failures[index].shard));
         failureList[index].setFailure(static_cast<std::uint8_t>(answers.failures[index].failure));
     }
-    builder.setShardRequests(answers.shardRequests);
 }
 
 /// A value that this version does not know must not read as a proof that the request did not run.
@@ -92,22 +92,38 @@
     return value <= last ? static_cast<Backend::attempt_failure>(value) : Backend::attempt_failure::Faulty;
 }
 
+/// Whether the answer can be merged: items are ordered by score, and what is not a number has no place in an order.
+static bool isOrdered(const branch_shard_answer &answer)
+{
+    return std::none_of(answer.items.begin(), answer.items.end(),
+                        [](const Query::result_item &item) { return std::isnan(item.score); });
+}
+
+static branch_shard_answer decodeAnswer(Schema::BranchShardAnswer::Reader reader)
+{
+    branch_shard_answer answer;
+    answer.shard = stringOf(reader.getShard());
+    answer.snapshot = stringOf(reader.getSnapshot());
+    for (const auto item : reader.getItems()) {
+        answer.items.push_back({stringOf(item.getId()), item.getScore()});
+    }
+    return answer;
+}
+
 branch_answers decodeBranchAnswers(Schema::BranchSink::AnswersParams::Reader reader)
 {
     branch_answers answers;
     for (const auto encoded : reader.getAnswers()) {
-        branch_shard_answer answer;
-        answer.shard = stringOf(encoded.getShard());
-        answer.snapshot = stringOf(encoded.getSnapshot());
-        for (const auto item : encoded.getItems()) {
-            answer.items.push_back({stringOf(item.getId()), item.getScore()});
+        branch_shard_answer answer = decodeAnswer(encoded);
+        if (isOrdered(answer)) {
+            answers.answers.push_back(std::move(answer));
+        } else {
+            answers.failures.push_back({std::move(answer.shard), Backend::attempt_failure::Faulty});
         }
-        answers.answers.push_back(std::move(answer));
     }
     for (const auto failure : reader.getFailures()) {
         answers.failures.push_back({stringOf(failure.getShard()), decodeFailure(failure.getFailure())});
     }
-    answers.shardRequests = reader.getShardRequests();
     return answers;
 }
 } // namespace Wire
