--- a/Benchmarks/Capacity/MeasureMembership.cpp
+++ b/Benchmarks/Capacity/MeasureMembership.cpp
@@ -32,7 +32,7 @@
         })));
         const Membership::fleet known = Membership::makeFleet(pair.first, settings, now);
         tick.values.push_back(Core::toMilliseconds(
-            measureRuns(50, [&] { VERIFY(Membership::makeFleet(pair.first, settings, now) == known); })));
+            Bench::measureRuns(50, [&] { VERIFY(Membership::makeFleet(pair.first, settings, now) == known); })));
         period.values.push_back(Core::toSeconds(Membership::gossipPeriod(pair.first, settings)));
         for (measurement *each : {&bytes, &time, &tick, &period, &memory}) {
             each->sizes.push_back(static_cast<double>(members));
