ragwortcrankd: Let the registry answer repeats whose route is gone

Cause: planning came before the registry, so a booking that had run and whose route was then removed was told not_run when it was repeated. Change: a refusal of a request whose id names a daemon goes through the registry first. Test seen to fail without the change. Found by reading. Conclusion: not_run stays true over configuration changes.

--- a/Services/ragwortcrankd/CallerApi.cpp
+++ b/Services/ragwortcrankd/CallerApi.cpp
@@ -7,6 +7,7 @@
 #include "LibConfiguration/ConfigurationDocument.h"
 #include "LibPlatform/HttpRequest.h"
 #include "LibQuery/PlanQuery.h"
+#include "LibQuery/RequestIdentityText.h"
 #include "LibTeams/Authenticate.h"
 #include "OnceGate.h"
 #include "QueryObservation.h"
@@ -90,7 +91,8 @@
     }
     Core::result<Query::query_plan> plan = Query::planQuery(*document, request, choice.version, now);
     if (!plan) {
-        responder.respond(encodeRefusal(statusOf(plan.error().code), request.requestId, plan.error().message));
+        refuse(request, encodeRefusal(statusOf(plan.error().code), request.requestId, plan.error().message),
+               std::move(responder));
         return;
     }
     admitted_query admitted = describe(*document, plan.value(), now);
@@ -107,6 +109,20 @@
     });
 }
 
+void caller_api::refuse(const Query::query_request &request, const Platform::http_response &refusal,
+                        Platform::http_responder responder)
+{
+    if (!Query::parseRequestIdentity(request.requestId)) {
+        responder.respond(refusal);
+        return;
+    }
+    // The same request may have run before its route or service was removed, so the registry has the first word.
+    m_daemon.once->begin(request, std::move(responder), [&](Platform::http_responder started) {
+        m_daemon.once->finish(request.requestId, refusal);
+        started.respond(refusal);
+    });
+}
+
 void caller_api::submit(Query::query_request request, Query::query_plan plan, admitted_query admitted,
                         Platform::http_responder responder)
 {
--- a/Services/ragwortcrankd/CallerApi.h
+++ b/Services/ragwortcrankd/CallerApi.h
@@ -13,7 +13,8 @@
 namespace Platform
 {
 struct http_request;
-}
+struct http_response;
+} // namespace Platform
 
 namespace Query
 {
@@ -36,6 +37,8 @@
 
 private:
     void startQuery(Query::query_request request, Platform::http_responder responder);
+    void refuse(const Query::query_request &request, const Platform::http_response &refusal,
+                Platform::http_responder responder);
     void submit(Query::query_request request, Query::query_plan plan, admitted_query admitted,
                 Platform::http_responder responder);
     void endAdmission(const admitted_query &admitted, const Query::query_result &result);
--- a/Tests/Processes/BookingLoad.cpp
+++ b/Tests/Processes/BookingLoad.cpp
@@ -1,19 +1,13 @@
 #include "Processes/BookingLoad.h"
 
 #include "LibPlatform/BlockingHttpClient.h"
-#include "LibPlatform/HttpCall.h"
-
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
+#include "Processes/BookingCalls.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace Processes
 {
-namespace json = boost::json;
 
 booking_load::booking_load(std::vector<std::string> daemons, std::string teamKey, int callers)
     : m_daemons(std::move(daemons))
@@ -41,47 +35,6 @@
     return m_records;
 }
 
-/// Returns the incarnation that the daemon gives for itself, or an empty string.
-static std::string incarnationOf(Platform::blocking_http_client &client, const std::string &daemon)
-{
-    Platform::http_call call;
-    call.url = "http://" + daemon + "/v1/entries";
-    call.timeout = std::chrono::seconds(1);
-    const Platform::call_outcome outcome = client.send(std::move(call));
-    boost::system::error_code error;
-    const json::value body = json::parse(outcome.response.body, error);
-    if (outcome.failure != Platform::call_failure::None || error) {
-        return {};
-    }
-    for (const json::value &entry : body.at("entries").as_array()) {
-        if (entry.at("address").as_string() == daemon) {
-            return std::string(entry.at("incarnation").as_string());
-        }
-    }
-    return {};
-}
-
-static void sendBooking(Platform::blocking_http_client &client, const std::string &daemon, const std::string &teamKey,
-                        booking_record &record)
-{
-    Platform::http_call call;
-    call.method = "POST";
-    call.url = "http://" + daemon + "/v1/query/search/book";
-    call.headers = {"Authorization: Bearer " + teamKey, "X-Request-Id: " + record.requestId};
-    call.body = json::serialize(json::object {{"query", "book"}, {"key", record.requestId}});
-    call.timeout = std::chrono::seconds(3);
-    call.reuse = Platform::connection_reuse::Forbidden;
-    const Platform::call_outcome outcome = client.send(std::move(call));
-    if (outcome.failure != Platform::call_failure::None) {
-        record.unknown = true;
-        return;
-    }
-    const std::string told(json::parse(outcome.response.body).at("outcome").as_string());
-    record.answered = record.answered || told == "answered";
-    record.saidNotRun = record.saidNotRun || told == "not_run";
-    record.unknown = record.unknown || told == "unknown";
-}
-
 void booking_load::run(int caller)
 {
     Platform::blocking_http_client client;
--- a/Tests/Processes/TestBookings.cpp
+++ b/Tests/Processes/TestBookings.cpp
@@ -1,3 +1,5 @@
+#include "LibPlatform/BlockingHttpClient.h"
+#include "Processes/BookingCalls.h"
 #include "Processes/BookingLoad.h"
 #include "Processes/ChildProcess.h"
 #include "Processes/TestFleet.h"
@@ -95,3 +97,22 @@
     const auto records = load.stop();
     checkBookings(fleet, records);
 }
+
+TEST(Bookings, RepeatAfterItsRouteIsGoneHearsWhatBecameOfIt)
+{
+    Processes::test_fleet fleet({});
+    Platform::blocking_http_client client;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    Processes::booking_record record;
+    record.requestId = Processes::incarnationOf(client, fleet.daemonAddress(0)) + "."
+        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()) + ".r";
+    Processes::sendBooking(client, fleet.daemonAddress(0), fleet.teamKey(), record);
+    ASSERT_TRUE(record.answered);
+    const boost::json::object routes {{"book", nullptr}};
+    ASSERT_EQ(fleet.patch(0, 1, "no-route", {{"services", {{"search", {{"routes", routes}}}}}}), 200);
+    ASSERT_TRUE(fleet.waitForNumber(2, 7s));
+    for (const std::string &daemon : allDaemons(fleet)) {
+        Processes::sendBooking(client, daemon, fleet.teamKey(), record);
+    }
+    EXPECT_FALSE(record.saidNotRun) << "it ran, so no daemon may say that it did not";
+}
