--- /dev/null
+++ b/Tests/LibWire/TestGossipCodec.cpp
@@ -0,0 +1,16 @@
+#include "LibWire/GossipCodec.h"
+
+#include <capnp/message.h>
+#include <gtest/gtest.h>
+#include <kj/exception.h>
+
+TEST(GossipCodec, MessageWithMoreItemsThanAnyDaemonSendsIsRefused)
+{
+    constexpr unsigned tooMany = 4097;
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<Wire::Schema::GossipMessage>();
+    root.initWanted(tooMany);
+    EXPECT_THROW(static_cast<void>(Wire::decodeGossip(root.asReader())), kj::Exception);
+    root.initWanted(tooMany - 1);
+    EXPECT_EQ(Wire::decodeGossip(root.asReader()).wanted.size(), tooMany - 1);
+}
