--- a/Benchmarks/Policy/OutageFleet.h
+++ b/Benchmarks/Policy/OutageFleet.h
@@ -4,6 +4,7 @@
 #include "LibConfiguration/PatchTransaction.h"
 #include "LibConfiguration/WatchState.h"
 #include "Policy/FakeStore.h"
+#include "Policy/ResendId.h"
 
 #include <cstdint>
 #include <memory>
@@ -12,12 +13,6 @@
 
 namespace Bench
 {
-/// Whether an operator sends a patch again with the id of its first send, or with a new one (the baseline).
-enum class resend_id {
-    Kept,
-    New,
-};
-
 /// VMs that watch a fake store, hand on by gossip, write operators' patches and are replaced, on virtual time. They
 /// take every decision with the functions that the daemon runs.
 struct outage_fleet {
--- a/Services/ragwortcrankd/Main.cpp
+++ b/Services/ragwortcrankd/Main.cpp
@@ -109,6 +109,35 @@
     return network;
 }
 
+static std::vector<std::unique_ptr<query_worker>> startWorkers(daemon_state &daemon, std::random_device &seedSource)
+{
+    std::vector<std::unique_ptr<query_worker>> workers;
+    workers.reserve(static_cast<std::size_t>(daemon.daemonSettings.queryThreads));
+    for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
+        workers.push_back(std::make_unique<query_worker>(daemon, seedSource()));
+    }
+    return workers;
+}
+
+static Core::result<std::unique_ptr<Platform::http_server>> startServer(daemon_state &daemon, caller_api &callers,
+                                                                        operator_api &operators)
+{
+    Platform::http_server_options options;
+    options.address = daemon.daemonSettings.listenAddress;
+    options.port = daemon.daemonSettings.callerPort;
+    options.threads = daemon.daemonSettings.httpThreads;
+    return Platform::http_server::start(
+        options, [&](const Platform::http_request &request, Platform::http_responder responder) {
+            dispatch(daemon, callers, operators, request, daemon.drain.count(std::move(responder)));
+        });
+}
+
+static int failListening(const Core::error &error)
+{
+    Observability::logEvent(log_level::Error, "listen_failed", {{"message", error.message}});
+    return exitListenFailed;
+}
+
 static int serve(daemon_state &daemon)
 {
     std::random_device seedSource;
@@ -125,11 +154,7 @@
     daemon.hooks.accountsText = [&accounts] {
         return accounts.text();
     };
-    std::vector<std::unique_ptr<query_worker>> workers;
-    workers.reserve(static_cast<std::size_t>(daemon.daemonSettings.queryThreads));
-    for (int index = 0; index < daemon.daemonSettings.queryThreads; ++index) {
-        workers.push_back(std::make_unique<query_worker>(daemon, seedSource()));
-    }
+    std::vector<std::unique_ptr<query_worker>> workers = startWorkers(daemon, seedSource);
     serveBranches(daemon, workers);
     patch_writer writer(daemon);
     configuration_watcher watcher(daemon, seedSource());
@@ -137,23 +162,14 @@
     operator_api operators(daemon, writer);
     const auto network = startPeers(daemon, membership);
     if (!network) {
-        Observability::logEvent(log_level::Error, "listen_failed", {{"message", network.error().message}});
-        return exitListenFailed;
+        return failListening(network.error());
     }
     shares.start(writer);
-    Platform::http_server_options options;
-    options.address = daemon.daemonSettings.listenAddress;
-    options.port = daemon.daemonSettings.callerPort;
-    options.threads = daemon.daemonSettings.httpThreads;
-    const auto server = Platform::http_server::start(
-        options, [&](const Platform::http_request &request, Platform::http_responder responder) {
-            dispatch(daemon, callers, operators, request, daemon.drain.count(std::move(responder)));
-        });
+    const auto server = startServer(daemon, callers, operators);
     if (!server) {
-        Observability::logEvent(log_level::Error, "listen_failed", {{"message", server.error().message}});
-        return exitListenFailed;
+        return failListening(server.error());
     }
-    Observability::logEvent(log_level::Info, "started", {{"caller_port", options.port}});
+    Observability::logEvent(log_level::Info, "started", {{"caller_port", daemon.daemonSettings.callerPort}});
     waitForStopSignal();
     Observability::logEvent(log_level::Info, "stopping");
     const bool nothingCut = drain(daemon, membership);
