--- a/Benchmarks/Policy/Load.h
+++ b/Benchmarks/Policy/Load.h
@@ -11,7 +11,7 @@
                                              const fake_replica_settings &replica)
 {
     const double meanFactor = 1.0 + replica.stragglerPart * (replica.stragglerFactor - 1.0);
-    const double meanSeconds = Core::toSeconds(replica.serviceTime) * meanFactor;
-    return load * static_cast<double>(replicasPerShard) * replica.slots / meanSeconds;
+    const Core::real_seconds mean = replica.serviceTime * meanFactor;
+    return load * static_cast<double>(replicasPerShard) * replica.slots / mean.count();
 }
 } // namespace Bench
--- a/Libraries/LibBackend/ReplicaChoice.cpp
+++ b/Libraries/LibBackend/ReplicaChoice.cpp
@@ -13,8 +13,8 @@
 namespace Backend
 {
 /// How fast knowledge of a replica that is not being asked loses its weight.
-static constexpr double latencyHalfLifeSeconds = 2.0;
-static constexpr double hintHalfLifeSeconds = 0.1;
+static constexpr Core::real_seconds latencyHalfLife {2.0};
+static constexpr Core::real_seconds hintHalfLife {0.1};
 /// Hints are the same for all daemons, so a hint must not weigh as much as requests that are known to run.
 static constexpr double hintWeight = 0.5;
 static constexpr double mostHintedLoad = 4.0;
@@ -45,22 +45,23 @@
     return replica.inFlight < atOnce * queueDepth;
 }
 
-static double fade(Core::duration age, double halfLifeSeconds)
+static double fade(Core::duration age, Core::real_seconds halfLife)
 {
-    return std::exp2(-std::max(Core::toSeconds(age), 0.0) / halfLifeSeconds);
+    return std::exp2(-std::max(Core::toSeconds(age), 0.0) / halfLife.count());
 }
 
 /// The expected latency. An old estimate returns to the service's mean, so that a replica that was slow once is tried
 /// again.
-static double expectedLatency(const service_state &service, const replica_state &replica, Core::time_point now)
+static Core::real_seconds expectedLatency(const service_state &service, const replica_state &replica,
+                                          Core::time_point now)
 {
-    constexpr double leastLatencySeconds = 1e-4;
-    const double usual = std::max(service.warmLatencySeconds, leastLatencySeconds);
-    if (replica.smoothedLatencySeconds == 0.0) {
+    constexpr Core::real_seconds leastLatency {1e-4};
+    const Core::real_seconds usual = std::max(service.warmLatency, leastLatency);
+    if (replica.smoothedLatency == Core::real_seconds::zero()) {
         return usual;
     }
-    const double weight = fade(now - replica.answeredAt, latencyHalfLifeSeconds);
-    return std::max(usual + (replica.smoothedLatencySeconds - usual) * weight, leastLatencySeconds);
+    const double weight = fade(now - replica.answeredAt, latencyHalfLife);
+    return std::max(usual + (replica.smoothedLatency - usual) * weight, leastLatency);
 }
 
 static double hintedLoad(const replica_state &replica, Core::time_point now)
@@ -69,13 +70,13 @@
         return 0.0;
     }
     const double load = std::clamp(replica.hint->load, 0.0, mostHintedLoad);
-    return hintWeight * load * fade(now - replica.hint->receivedAt, hintHalfLifeSeconds);
+    return hintWeight * load * fade(now - replica.hint->receivedAt, hintHalfLife);
 }
 
-static double expectedWait(const service_state &service, const replica_state &replica, Core::time_point now)
+static Core::real_seconds expectedWait(const service_state &service, const replica_state &replica, Core::time_point now)
 {
-    constexpr double avoidancePenaltySeconds = 1e3;
-    const double penalty = now < replica.avoidUntil ? avoidancePenaltySeconds : 0.0;
+    constexpr Core::real_seconds avoidancePenalty {1e3};
+    const Core::real_seconds penalty = now < replica.avoidUntil ? avoidancePenalty : Core::real_seconds::zero();
     const double own = static_cast<double>(replica.inFlight) / service.slotsPerReplica;
     return penalty + expectedLatency(service, replica, now) * (1.0 + own + hintedLoad(replica, now));
 }
@@ -88,7 +89,7 @@
         return std::nullopt;
     }
     std::optional<std::size_t> best;
-    double bestScore = std::numeric_limits<double>::infinity();
+    Core::real_seconds bestScore {std::numeric_limits<double>::infinity()};
     // Daemons that see the same figures must not all take the same replica.
     std::uniform_real_distribution<double> jitter(0.8, 1.2);
     for (const std::size_t index : found->second) {
@@ -97,7 +98,7 @@
             || !hasColdRoom(service, replica, now)) {
             continue;
         }
-        const double score = expectedWait(service, replica, now) * jitter(random);
+        const Core::real_seconds score = expectedWait(service, replica, now) * jitter(random);
         if (score < bestScore) {
             bestScore = score;
             best = index;
--- a/Libraries/LibBackend/ReplicaEvents.cpp
+++ b/Libraries/LibBackend/ReplicaEvents.cpp
@@ -32,26 +32,25 @@
     return replica;
 }
 
-static void smooth(double &mean, double value, double weight)
+static void smooth(Core::real_seconds &mean, Core::real_seconds value, double weight)
 {
-    mean = mean == 0.0 ? value : mean * (1.0 - weight) + value * weight;
+    mean = mean == Core::real_seconds::zero() ? value : mean * (1.0 - weight) + value * weight;
 }
 
-static void followMaximum(double &maximum, double value, double decay)
+static void followMaximum(Core::real_seconds &maximum, Core::real_seconds value, double decay)
 {
     maximum = std::max(value, maximum * (1.0 - decay));
 }
 
 static void recordLatency(service_state &service, replica_state &replica, double load, Core::duration latency)
 {
-    const double seconds = Core::toSeconds(latency);
-    smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
-    followMaximum(replica.slowestRecentSeconds, seconds, replicaMaximumDecay);
-    followMaximum(service.slowestRecentSeconds, seconds, serviceMaximumDecay);
+    smooth(replica.smoothedLatency, latency, latencyWeight);
+    followMaximum(replica.slowestRecent, latency, replicaMaximumDecay);
+    followMaximum(service.slowestRecent, latency, serviceMaximumDecay);
     if (replica.warmth.level >= warmestLevel) {
-        smooth(service.warmLatencySeconds, seconds, serviceLatencyWeight);
+        smooth(service.warmLatency, latency, serviceLatencyWeight);
         if (load < 1.0) {
-            smooth(service.unloadedLatencySeconds, seconds, serviceLatencyWeight);
+            smooth(service.unloadedLatency, latency, serviceLatencyWeight);
         }
     }
 }
@@ -91,9 +90,8 @@
 {
     replica_state &replica = service.replicas[index];
     observeOvertaken(service, replica, elapsed);
-    const double seconds = Core::toSeconds(elapsed);
-    if (seconds > replica.smoothedLatencySeconds) {
-        smooth(replica.smoothedLatencySeconds, seconds, latencyWeight);
+    if (elapsed > replica.smoothedLatency) {
+        smooth(replica.smoothedLatency, elapsed, latencyWeight);
         replica.answeredAt = now;
     }
 }
--- a/Libraries/LibBackend/ReplicaState.h
+++ b/Libraries/LibBackend/ReplicaState.h
@@ -21,8 +21,8 @@
     Core::time_point healthAskedAt; ///< The last health request of this daemon.
     bool removed = false; ///< No longer in the configuration; kept while requests run so that indices stay valid.
     std::uint32_t inFlight = 0; ///< Requests of this daemon that the replica may be running.
-    double smoothedLatencySeconds = 0.0; ///< Exponentially weighted mean; 0: no answer yet.
-    double slowestRecentSeconds = 0.0; ///< Decaying maximum of the latencies of whole answers.
+    Core::real_seconds smoothedLatency {}; ///< Exponentially weighted mean; 0: no answer yet.
+    Core::real_seconds slowestRecent {}; ///< Decaying maximum of the latencies of whole answers.
     Core::time_point answeredAt; ///< The last whole answer.
     std::optional<load_hint> hint;
     std::uint32_t consecutiveFailures = 0;
@@ -30,7 +30,7 @@
 
     warmth_record warmth; ///< Its incarnation is the last one heard.
     std::uint32_t warmAnswers = 0; ///< Answers that were not reported cold, since the level last changed.
-    double warmAnswerSeconds = 0.0; ///< The sum of their latencies.
+    Core::real_seconds warmAnswerTime {}; ///< The sum of their latencies.
     Core::time_point warmthChangedAt; ///< By own evidence or by a peer's record.
 
     static constexpr std::uint32_t noRank = std::numeric_limits<std::uint32_t>::max();
--- a/Libraries/LibBackend/ServiceLoad.cpp
+++ b/Libraries/LibBackend/ServiceLoad.cpp
@@ -18,7 +18,7 @@
     }
     const double kept = std::exp(-seconds / fadeSeconds);
     load.recentEnds *= kept;
-    load.busySeconds = load.busySeconds * kept + seconds;
+    load.busyTime = load.busyTime * kept + Core::real_seconds(seconds);
 }
 
 void recordStarted(service_load &load, std::size_t requests, Core::time_point now)
@@ -41,6 +41,7 @@
     if (load.inFlight == 0 || load.recentEnds < leastEnds) {
         return Core::duration::zero();
     }
-    return Core::fromSeconds(static_cast<double>(load.inFlight + load.waiting) * load.busySeconds / load.recentEnds);
+    return std::chrono::duration_cast<Core::duration>(static_cast<double>(load.inFlight + load.waiting) * load.busyTime
+                                                      / load.recentEnds);
 }
 } // namespace Backend
--- a/Libraries/LibBackend/ServiceLoad.h
+++ b/Libraries/LibBackend/ServiceLoad.h
@@ -12,7 +12,7 @@
     std::uint64_t inFlight = 0; ///< Shard requests of this daemon that have not ended.
     std::uint64_t waiting = 0; ///< Shards that wait for a replica or a token before they are asked.
     double recentEnds = 0.0; ///< Ended requests, faded over busy time.
-    double busySeconds = 0.0; ///< Time with requests in flight, faded alike.
+    Core::real_seconds busyTime {}; ///< Time with requests in flight, faded alike.
     Core::time_point updatedAt;
 };
 
--- a/Libraries/LibBackend/ServiceState.h
+++ b/Libraries/LibBackend/ServiceState.h
@@ -34,9 +34,9 @@
     Core::time_point ownershipConfirmedAt;
     std::uint32_t connectionsPerReplica = 0; ///< 0: not limited by a view.
 
-    double warmLatencySeconds = 0.0; ///< Weighted mean over all warm replicas; 0: no answer yet.
-    double unloadedLatencySeconds = 0.0; ///< The same over answers that reported a free slot; 0: no answer yet.
-    double slowestRecentSeconds = 0.0; ///< Decaying maximum over all replicas.
+    Core::real_seconds warmLatency {}; ///< Weighted mean over all warm replicas; 0: no answer yet.
+    Core::real_seconds unloadedLatency {}; ///< The same over answers that reported a free slot; 0: no answer yet.
+    Core::real_seconds slowestRecent {}; ///< Decaying maximum over all replicas.
     std::string currentSnapshot; ///< The configuration's; newer than the pin of queries that started before it.
     latency_tracker firstLatencies; ///< Of first attempts only, so that hedges don't move their own trigger.
     extra_load_budget extraLoad;
--- a/Libraries/LibBackend/SilenceBound.cpp
+++ b/Libraries/LibBackend/SilenceBound.cpp
@@ -6,8 +6,8 @@
 
 namespace Backend
 {
-static constexpr double leastBoundSeconds = 0.05;
-static constexpr double mostBoundSeconds = 10.0;
+static constexpr Core::real_seconds leastBound {0.05};
+static constexpr Core::real_seconds mostBound {10.0};
 /// The bound as a multiple of the slowest recent answer.
 static constexpr double slowestFactor = 2.0;
 /// The bound as a multiple of the mean; stragglers of 20 times the mean are ordinary.
@@ -19,14 +19,14 @@
 Core::duration silenceBound(const service_state &service, std::size_t index)
 {
     const replica_state &replica = service.replicas[index];
-    const double mean = std::max(service.warmLatencySeconds, replica.smoothedLatencySeconds);
-    const double slowest = std::max(service.slowestRecentSeconds, replica.slowestRecentSeconds);
-    if (slowest == 0.0) {
-        return Core::fromSeconds(mostBoundSeconds);
+    const Core::real_seconds mean = std::max(service.warmLatency, replica.smoothedLatency);
+    const Core::real_seconds slowest = std::max(service.slowestRecent, replica.slowestRecent);
+    if (slowest == Core::real_seconds::zero()) {
+        return std::chrono::duration_cast<Core::duration>(mostBound);
     }
-    const double bound = std::max({leastBoundSeconds, slowest * slowestFactor, mean * meanFactor});
+    const Core::real_seconds bound = std::max({leastBound, slowest * slowestFactor, mean * meanFactor});
     const auto doublings = static_cast<double>(1U << std::min(replica.consecutiveSilences, mostDoublings));
-    return Core::fromSeconds(std::min(bound * doublings, mostBoundSeconds));
+    return std::chrono::duration_cast<Core::duration>(std::min(bound * doublings, mostBound));
 }
 
 std::optional<Core::duration> oldestUsableConnection(const replica_state &replica, Core::time_point now)
--- a/Libraries/LibBackend/Warmth.cpp
+++ b/Libraries/LibBackend/Warmth.cpp
@@ -37,7 +37,7 @@
 static void forgetEvidence(replica_state &replica)
 {
     replica.warmAnswers = 0;
-    replica.warmAnswerSeconds = 0.0;
+    replica.warmAnswerTime = {};
 }
 
 static void setWarmth(replica_state &replica, warmth_record record, Core::time_point now)
@@ -124,12 +124,12 @@
         return;
     }
     ++replica.warmAnswers;
-    replica.warmAnswerSeconds += Core::toSeconds(latency);
+    replica.warmAnswerTime += latency;
     if (replica.warmAnswers < answersPerLevel || now - replica.warmthChangedAt < levelDuration) {
         return;
     }
-    const double usual = service.unloadedLatencySeconds;
-    if (usual > 0.0 && replica.warmAnswerSeconds > usual * slowFactor * replica.warmAnswers) {
+    const Core::real_seconds usual = service.unloadedLatency;
+    if (usual > Core::real_seconds::zero() && replica.warmAnswerTime > usual * slowFactor * replica.warmAnswers) {
         forgetEvidence(replica);
     } else {
         warmth_record next = replica.warmth;
@@ -140,7 +140,7 @@
 
 void observeOvertaken(const service_state &service, replica_state &replica, Core::duration elapsed)
 {
-    if (Core::toSeconds(elapsed) > service.unloadedLatencySeconds) {
+    if (elapsed > service.unloadedLatency) {
         forgetEvidence(replica);
     }
 }
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -11,6 +11,8 @@
 using wall_time = std::chrono::system_clock::time_point;
 /// The resolution that every duration in the decision packages is kept in.
 using duration = std::chrono::nanoseconds;
+/// A duration as a real number, for means and decaying maxima that must not lose parts of a nanosecond.
+using real_seconds = std::chrono::duration<double>;
 
 /// Converts any duration to milliseconds as a real number, for reports and metrics.
 template<typename Rep, typename Period>
--- a/Tests/LibBackend/TestApplyConfiguration.cpp
+++ b/Tests/LibBackend/TestApplyConfiguration.cpp
@@ -45,7 +45,8 @@
     EXPECT_EQ(replica("a1").warmth.level, 0U);
     EXPECT_EQ(replica("a1").inFlight, 0U);
     Backend::recordAnswer(service, old, {"i1", 0.0, false, false}, std::chrono::seconds(1), now);
-    EXPECT_EQ(replica("a1").smoothedLatencySeconds, 0.0) << "the old process says nothing of the new one";
+    EXPECT_EQ(replica("a1").smoothedLatency, Core::real_seconds::zero())
+        << "the old process says nothing of the new one";
 }
 
 TEST_F(apply_configuration, UnrelatedChangesKeepWhatIsKnown)
@@ -56,5 +57,5 @@
     applyNext();
     EXPECT_EQ(replica("a1").warmth.level, Backend::warmestLevel);
     EXPECT_TRUE(replica("a1").reportedLeaving);
-    EXPECT_GT(replica("a1").smoothedLatencySeconds, 0.0);
+    EXPECT_GT(replica("a1").smoothedLatency, Core::real_seconds::zero());
 }
