LibWire: Bound the items of a branch's answers

Change: one function bounds the lists of both codecs: 4,096 shards and 65,536 items a message. The unit test throws for 80,000 items.

--- a/Libraries/LibWire/BranchCodec.cpp
+++ b/Libraries/LibWire/BranchCodec.cpp
@@ -1,5 +1,7 @@
 #include "LibWire/BranchCodec.h"
 
+#include "LibWire/CheckLength.h"
+
 #include "LibWire/TextCodec.h"
 
 #include <algorithm>
@@ -100,12 +102,16 @@
                         [](const Query::result_item &item) { return std::isnan(item.score); });
 }
 
-static branch_shard_answer decodeAnswer(Schema::BranchShardAnswer::Reader reader)
+/// More shards than any snapshot has at the target, and more items than any branch answers.
+static constexpr unsigned mostShards = 4096;
+static constexpr unsigned mostItems = 65'536;
+
+static branch_shard_answer decodeAnswer(Schema::BranchShardAnswer::Reader reader, unsigned itemsLeft)
 {
     branch_shard_answer answer;
     answer.shard = stringOf(reader.getShard());
     answer.snapshot = stringOf(reader.getSnapshot());
-    for (const auto item : reader.getItems()) {
+    for (const auto item : checkLength(reader.getItems(), itemsLeft, "items")) {
         answer.items.push_back({stringOf(item.getId()), item.getScore()});
     }
     return answer;
@@ -114,15 +120,17 @@
 branch_answers decodeBranchAnswers(Schema::BranchSink::AnswersParams::Reader reader)
 {
     branch_answers answers;
-    for (const auto encoded : reader.getAnswers()) {
-        branch_shard_answer answer = decodeAnswer(encoded);
+    unsigned itemsLeft = mostItems;
+    for (const auto encoded : checkLength(reader.getAnswers(), mostShards, "answers")) {
+        branch_shard_answer answer = decodeAnswer(encoded, itemsLeft);
+        itemsLeft -= static_cast<unsigned>(answer.items.size());
         if (isOrdered(answer)) {
             answers.answers.push_back(std::move(answer));
         } else {
             answers.failures.push_back({std::move(answer.shard), Backend::attempt_failure::Faulty});
         }
     }
-    for (const auto failure : reader.getFailures()) {
+    for (const auto failure : checkLength(reader.getFailures(), mostShards, "failures")) {
         answers.failures.push_back({stringOf(failure.getShard()), decodeFailure(failure.getFailure())});
     }
     answers.shardRequests = reader.getShardRequests();
--- a/Libraries/LibWire/GossipCodec.cpp
+++ b/Libraries/LibWire/GossipCodec.cpp
@@ -1,23 +1,16 @@
 #include "LibWire/GossipCodec.h"
 
+#include "LibWire/CheckLength.h"
 #include "LibWire/GossipSize.h"
 #include "LibWire/TextCodec.h"
 
 #include <capnp/message.h>
-#include <kj/debug.h>
 
 namespace Wire
 {
-// No daemon sends more: it keeps at most this many members, and its messages are far smaller. Without a bound, a few
-// words of a list whose items take no space decode to millions of items.
+/// No daemon sends more: it keeps at most this many members, and its messages are far smaller.
 static constexpr unsigned mostListItems = 4096;
 
-template<typename List> static List checkLength(List list, const char *name)
-{
-    KJ_REQUIRE(list.size() <= mostListItems, "a gossip message has too many items", name, list.size());
-    return list;
-}
-
 static void encodeRecord(const Membership::member_record &record, Schema::MemberRecord::Builder builder)
 {
     builder.setName(textOf(record.name));
@@ -83,16 +76,16 @@
     message.sender = stringOf(reader.getSender());
     message.configurationNumber = reader.getConfigurationNumber();
     message.newestNumber = reader.getNewestNumber();
-    for (const auto entry : checkLength(reader.getDigest(), "digest")) {
+    for (const auto entry : checkLength(reader.getDigest(), mostListItems, "digest")) {
         message.digest.push_back({entry.getId(), entry.getHeartbeat(), entry.getLag(), entry.getLeaving()});
     }
-    for (const auto record : checkLength(reader.getRecords(), "records")) {
+    for (const auto record : checkLength(reader.getRecords(), mostListItems, "records")) {
         message.records.push_back(decodeRecord(record));
     }
-    for (const std::uint32_t id : checkLength(reader.getWanted(), "wanted")) {
+    for (const std::uint32_t id : checkLength(reader.getWanted(), mostListItems, "wanted")) {
         message.wanted.push_back(id);
     }
-    for (const auto blob : checkLength(reader.getBlobs(), "blobs")) {
+    for (const auto blob : checkLength(reader.getBlobs(), mostListItems, "blobs")) {
         message.blobs.push_back({stringOf(blob.getKey()), stringOf(blob.getValue())});
     }
     return message;
--- a/Tests/LibWire/TestBranchCodec.cpp
+++ b/Tests/LibWire/TestBranchCodec.cpp
@@ -3,6 +3,7 @@
 #include <capnp/message.h>
 
 #include <gtest/gtest.h>
+#include <kj/exception.h>
 
 #include <limits>
 
@@ -31,3 +32,14 @@
     Wire::encodeBranchAnswers(sent, root);
     EXPECT_EQ(Wire::decodeBranchAnswers(root.asReader()).shardRequests, 7U);
 }
+
+TEST(BranchCodec, MessageWithMoreItemsThanAnyBranchSendsIsRefused)
+{
+    Wire::branch_answers sent;
+    sent.answers.push_back({"s0", "snapshot-1", std::vector<Query::result_item>(40'000)});
+    sent.answers.push_back(sent.answers[0]);
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<Wire::Schema::BranchSink::AnswersParams>();
+    Wire::encodeBranchAnswers(sent, root);
+    EXPECT_THROW(static_cast<void>(Wire::decodeBranchAnswers(root.asReader())), kj::Exception);
+}
