--- a/Libraries/LibForward/MakePlan.cpp
+++ b/Libraries/LibForward/MakePlan.cpp
@@ -14,8 +14,8 @@
 using namespace std::chrono_literals;
 
 /// Time for the answer's way to the caller and for merging.
-static constexpr Core::duration answerMargin = 12ms;
-static constexpr double mostMarginPart = 0.15; ///< Of the target latency.
+static constexpr Core::duration answerMargin = 24ms;
+static constexpr double mostMarginPart = 0.25; ///< Of the target latency.
 /// The final answer leaves so long before the caller stops waiting that it still arrives.
 static constexpr Core::duration giveUpMargin = 10ms;
 /// Guards against a coverage like 0.75 of 4 being rounded up to 4 parts.
