--- /dev/null
+++ b/Libraries/LibExchange/FeedCodec.cpp
@@ -0,0 +1,62 @@
+#include "LibExchange/FeedCodec.h"
+
+#include "LibExchange/WordBuffer.h"
+#include "LibWire/Peer.capnp.h"
+#include "LibWire/TextCodec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+namespace Exchange
+{
+using Wire::listSize;
+using Wire::stringOf;
+using Wire::textOf;
+
+std::string encodeFeed(const std::vector<feed_kind> &kinds)
+{
+    capnp::MallocMessageBuilder builder;
+    auto list = builder.initRoot<Wire::Schema::FeedPage>().initKinds(listSize(kinds));
+    for (unsigned index = 0; index < list.size(); ++index) {
+        const feed_kind &kind = kinds[index];
+        list[index].setKind(textOf(kind.kind));
+        list[index].setPosition(kind.position);
+        list[index].setWhole(kind.whole);
+        auto entries = list[index].initEntries(listSize(kind.entries));
+        for (unsigned place = 0; place < entries.size(); ++place) {
+            const feed_entry &entry = kind.entries[place];
+            entries[place].setName(textOf(entry.name));
+            entries[place].setRevision(entry.revision);
+            entries[place].setDeleted(entry.deleted);
+            entries[place].setContent(textOf(entry.content));
+        }
+    }
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asChars();
+    return {bytes.begin(), bytes.size()};
+}
+
+std::optional<std::vector<feed_kind>> decodeFeed(std::string_view bytes)
+{
+    const std::optional<word_buffer> words = copyWords(bytes);
+    if (!words) {
+        return std::nullopt;
+    }
+    try {
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words->data(), words->size()));
+        std::vector<feed_kind> kinds;
+        for (const auto kind : reader.getRoot<Wire::Schema::FeedPage>().getKinds()) {
+            feed_kind decoded {stringOf(kind.getKind()), kind.getPosition(), kind.getWhole(), {}};
+            for (const auto entry : kind.getEntries()) {
+                decoded.entries.push_back(
+                    {stringOf(entry.getName()), entry.getRevision(), entry.getDeleted(), stringOf(entry.getContent())});
+            }
+            kinds.push_back(std::move(decoded));
+        }
+        return kinds;
+    } catch (const kj::Exception &) {
+        return std::nullopt; // The caller logs what it cannot read.
+    }
+}
+} // namespace Exchange
--- /dev/null
+++ b/Libraries/LibExchange/FeedCodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "LibExchange/FeedKind.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Exchange
+{
+[[nodiscard]] std::string encodeFeed(const std::vector<feed_kind> &kinds);
+
+/// Returns nothing for bytes that are no page of news.
+[[nodiscard]] std::optional<std::vector<feed_kind>> decodeFeed(std::string_view bytes);
+} // namespace Exchange
--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -30,11 +30,12 @@
 }
 
 peer_exchange::peer_exchange(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
-                             Membership::member_table table, change_function onChange)
+                             Membership::member_table table, change_function onChange, round_function onRound)
     : m_timers(timers)
     , m_log(log)
     , m_table(std::move(table))
     , m_onChange(std::move(onChange))
+    , m_onRound(std::move(onRound))
     , m_socket(loop)
     , m_random(m_table.self.incarnation)
 {
@@ -55,6 +56,11 @@
     return m_table;
 }
 
+const Membership::member_table &peer_exchange::table() const
+{
+    return m_table;
+}
+
 const Membership::membership_settings &peer_exchange::settings() const
 {
     return m_settings;
@@ -126,6 +132,7 @@
         sendTo(target, datagram_kind::Round, message);
     }
     noticeChange(now);
+    m_onRound(now);
     m_timers.schedule(now + Membership::roundInterval(m_table, m_settings),
                       [this](Core::time_point due) { runRound(due); });
 }
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -32,10 +32,11 @@
 {
 public:
     using change_function = std::function<void()>;
+    using round_function = std::function<void(Core::time_point)>;
 
-    /// `onChange` is called when a member has come, gone, died or started to leave.
+    /// `onChange` is called when a member has come, gone, died or started to leave; `onRound` after each round.
     peer_exchange(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
-                  Membership::member_table table, change_function onChange);
+                  Membership::member_table table, change_function onChange, round_function onRound);
 
     /// Starts to exchange. Throws boost::system::system_error if the port cannot be bound.
     void start();
@@ -44,6 +45,7 @@
     void setConfigurationNumber(std::uint64_t number);
 
     [[nodiscard]] Membership::member_table &table();
+    [[nodiscard]] const Membership::member_table &table() const;
     [[nodiscard]] const Membership::membership_settings &settings() const;
     /// Daemons that live and do not leave, this one included.
     [[nodiscard]] std::size_t liveCount(Core::time_point now) const;
@@ -61,6 +63,7 @@
     Membership::member_table m_table;
     Membership::membership_settings m_settings;
     change_function m_onChange;
+    round_function m_onRound;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer {}; ///< The longest datagram.
--- a/Libraries/LibForward/Departures.cpp
+++ b/Libraries/LibForward/Departures.cpp
@@ -6,18 +6,10 @@
 
 /// Live replicas register again within 2 s of the store's return; the rest is the way of the news.
 static constexpr Core::duration returnTime = 2500ms;
-/// After the store answers again, registrations that lapsed meanwhile are still reported for so long.
-static constexpr Core::duration doubtTime = 4s;
-
-void doubtStore(departures &pending, Core::time_point now)
-{
-    pending.storeDoubtedUntil = now + doubtTime;
-}
-
-void recordMissing(departures &pending, const std::string &id, Core::time_point now)
+Core::time_point recordMissing(departures &pending, const std::string &id, missing_cause cause, Core::time_point now)
 {
-    const bool doubted = now < pending.storeDoubtedUntil;
-    pending.goneAt.try_emplace(id, doubted ? now + returnTime : now);
+    const Core::duration wait = cause == missing_cause::Doubted ? returnTime : Core::duration {};
+    return pending.goneAt.try_emplace(id, now + wait).first->second;
 }
 
 void recordPresent(departures &pending, const std::string &id)
--- a/Libraries/LibForward/Departures.h
+++ b/Libraries/LibForward/Departures.h
@@ -8,18 +8,19 @@
 
 namespace Forward
 {
-/// Replicas whose registration is missing, each with the time from which it counts as gone. Registrations can lapse
-/// while the store is away although their replicas live; those come back soon after the store does.
+/// Why a replica's registration is missing.
+enum class missing_cause {
+    Removed, ///< The store says so.
+    Doubted, ///< The store was away or has dropped its history; a replica that lives registers again soon.
+};
+
+/// Replicas whose registration is missing, each with the time from which it counts as gone.
 struct departures {
     std::map<std::string, Core::time_point> goneAt;
-    Core::time_point storeDoubtedUntil; ///< Until then a missing registration may be the store's doing.
 };
 
-/// Records that the store was unreachable or dropped its history.
-void doubtStore(departures &pending, Core::time_point now);
-
-/// Records that a replica's registration is missing.
-void recordMissing(departures &pending, const std::string &id, Core::time_point now);
+/// Records that a replica's registration is missing. Returns the time from which the replica counts as gone.
+Core::time_point recordMissing(departures &pending, const std::string &id, missing_cause cause, Core::time_point now);
 
 /// Records that a replica's registration is there.
 void recordPresent(departures &pending, const std::string &id);
--- a/Libraries/LibMembership/ChooseEntries.cpp
+++ b/Libraries/LibMembership/ChooseEntries.cpp
@@ -15,7 +15,9 @@
 
 static bool mayEnter(const member_record &record, const Configuration::configuration_document &document)
 {
-    return !record.leaving && !record.callerAddress.empty() && !isOut(document, record.dataCentre);
+    // A daemon that knows no configuration yet would refuse its callers.
+    return !record.leaving && record.configurationNumber > 0 && !record.callerAddress.empty()
+        && !isOut(document, record.dataCentre);
 }
 
 std::vector<entry> chooseEntries(const member_table &table, const membership_settings &settings,
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -8,6 +8,7 @@
 #include "LibMembership/RendezvousWeight.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace Membership
@@ -180,13 +181,16 @@
     return found == document.dataCentres.end() ? dataCentre : found->second.region;
 }
 
-std::size_t watchRank(const member_table &table, const membership_settings &settings,
-                      const Configuration::configuration_document &document, Core::time_point now)
+std::vector<const member_record *> watchOrder(const member_table &table, const membership_settings &settings,
+                                              const Configuration::configuration_document &document,
+                                              Core::time_point now)
 {
     const std::uint64_t key = hashName("configuration watch");
     std::vector<std::pair<std::uint64_t, Configuration::watch_candidate>> weighted;
+    std::map<std::string, const member_record *> byName;
     for (const member_record *member : liveMembers(table, settings, now)) {
         if (!member->leaving) {
+            byName[member->name] = member;
             weighted.emplace_back(
                 rendezvousWeight(key, hashName(member->name)),
                 Configuration::watch_candidate {member->name, regionOf(document, member->dataCentre)});
@@ -199,11 +203,18 @@
     for (auto &[weight, candidate] : weighted) {
         ranked.push_back(std::move(candidate));
     }
-    const auto order = Configuration::watchOrder(ranked);
-    const auto own = std::find_if(order.begin(), order.end(), [&](const Configuration::watch_candidate &candidate) {
-        return candidate.virtualMachine == table.self.name;
-    });
-    return static_cast<std::size_t>(own - order.begin());
+    std::vector<const member_record *> order;
+    for (const Configuration::watch_candidate &candidate : Configuration::watchOrder(ranked)) {
+        order.push_back(byName.at(candidate.virtualMachine));
+    }
+    return order;
+}
+
+std::size_t watchRank(const member_table &table, const membership_settings &settings,
+                      const Configuration::configuration_document &document, Core::time_point now)
+{
+    const auto order = watchOrder(table, settings, document, now);
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), &table.self) - order.begin());
 }
 
 bool isIsolated(const member_table &table, const membership_settings &settings, Core::time_point now)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -61,6 +61,12 @@
 [[nodiscard]] std::vector<const member_record *> liveMembers(const member_table &table,
                                                              const membership_settings &settings, Core::time_point now);
 
+/// The live members that may watch the store, in the order in which they are asked to; each region has one in front.
+[[nodiscard]] std::vector<const member_record *> watchOrder(const member_table &table,
+                                                            const membership_settings &settings,
+                                                            const Configuration::configuration_document &document,
+                                                            Core::time_point now);
+
 /// This daemon's place among the live members that may watch the store, 0 the first; each region has one in front.
 [[nodiscard]] std::size_t watchRank(const member_table &table, const membership_settings &settings,
                                     const Configuration::configuration_document &document, Core::time_point now);
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -90,6 +90,24 @@
   checksum @3 :UInt64;            # Of the whole document's text.
 }
 
+struct FeedEntry {
+  name @0 :Text;
+  revision @1 :UInt64;            # The feed's position when the entry changed.
+  deleted @2 :Bool;
+  content @3 :Text;
+}
+
+struct FeedKind {
+  kind @0 :Text;
+  position @1 :UInt64;            # The store's revision up to which the entries are known.
+  whole @2 :Bool;                 # Every entry there is, rather than those that changed.
+  entries @3 :List(FeedEntry);
+}
+
+struct FeedPage {
+  kinds @0 :List(FeedKind);
+}
+
 interface Peer {
   gossip @0 (message :GossipMessage) -> (reply :GossipMessage);
   readConfiguration @1 (aboveNumber :UInt64) -> (reply :ConfigurationReply);
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -7,17 +7,19 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
-namespace capnp {
-namespace schemas {
+namespace capnp
+{
+namespace schemas
+{
 
 CAPNP_DECLARE_SCHEMA(f21acfce2fabebbe);
 CAPNP_DECLARE_SCHEMA(e4c3b70b1fcb8dc3);
@@ -32,6 +34,9 @@
 CAPNP_DECLARE_SCHEMA(ce9b57b4cf22d4c8);
 CAPNP_DECLARE_SCHEMA(ea20b34680d934f2);
 CAPNP_DECLARE_SCHEMA(a26d805d3d1b18df);
+CAPNP_DECLARE_SCHEMA(e608a8242054a1bc);
+CAPNP_DECLARE_SCHEMA(b1eaff1b7644e36b);
+CAPNP_DECLARE_SCHEMA(a8ba1b11cf14c781);
 CAPNP_DECLARE_SCHEMA(f2e46353aa7bfb58);
 CAPNP_DECLARE_SCHEMA(e9dc1c590f04b945);
 CAPNP_DECLARE_SCHEMA(82d1810e518ce591);
@@ -44,4292 +49,5815 @@
 CAPNP_DECLARE_SCHEMA(e3dfb47970bafe7c);
 CAPNP_DECLARE_SCHEMA(f82a671ed8cf74dc);
 
-}  // namespace schemas
-}  // namespace capnp
+} // namespace schemas
+} // namespace capnp
 
-namespace Wire {
-namespace Schema {
+namespace Wire
+{
+namespace Schema
+{
 
 struct MemberRecord {
-  MemberRecord() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f21acfce2fabebbe, 4, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    MemberRecord() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(f21acfce2fabebbe, 4, 4)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct KeyedBlob {
-  KeyedBlob() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4c3b70b1fcb8dc3, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    KeyedBlob() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(e4c3b70b1fcb8dc3, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct DigestEntry {
-  DigestEntry() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84076c76c8766948, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    DigestEntry() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(84076c76c8766948, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct GossipMessage {
-  GossipMessage() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 2, 5)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    GossipMessage() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 2, 5)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchRequest {
-  BranchRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c548c6b6267e0847, 3, 10)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    BranchRequest() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(c548c6b6267e0847, 3, 10)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct ResultItem {
-  ResultItem() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e33664a3b7047b68, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ResultItem() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(e33664a3b7047b68, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchShardAnswer {
-  BranchShardAnswer() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b9b9e106237c68bd, 0, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    BranchShardAnswer() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(b9b9e106237c68bd, 0, 3)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchShardFailure {
-  BranchShardFailure() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a12195b2db81e415, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    BranchShardFailure() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(a12195b2db81e415, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchSink {
-  BranchSink() = delete;
+    BranchSink() = delete;
+
+#if !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct AnswersParams;
+    struct AnswersResults;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct AnswersParams;
-  struct AnswersResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(ff612bdf9d441770)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
+    struct _capnpPrivate {
+        CAPNP_DECLARE_INTERFACE_HEADER(ff612bdf9d441770)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
 struct BranchSink::AnswersParams {
-  AnswersParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5884f8913dbc36e, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    AnswersParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(b5884f8913dbc36e, 1, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchSink::AnswersResults {
-  AnswersResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce9b57b4cf22d4c8, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    AnswersResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(ce9b57b4cf22d4c8, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct BranchSummary {
-  BranchSummary() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea20b34680d934f2, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    BranchSummary() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(ea20b34680d934f2, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct ConfigurationReply {
-  ConfigurationReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a26d805d3d1b18df, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ConfigurationReply() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(a26d805d3d1b18df, 3, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct FeedEntry {
+    FeedEntry() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(e608a8242054a1bc, 2, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct FeedKind {
+    FeedKind() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(b1eaff1b7644e36b, 2, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
+};
+
+struct FeedPage {
+    FeedPage() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(a8ba1b11cf14c781, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer {
-  Peer() = delete;
+    Peer() = delete;
 
 #if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct GossipParams;
-  struct GossipResults;
-  struct ReadConfigurationParams;
-  struct ReadConfigurationResults;
-  struct RunBranchParams;
-  struct RunBranchResults;
-  struct ResolveRequestParams;
-  struct ResolveRequestResults;
-  struct PingParams;
-  struct PingResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(f2e46353aa7bfb58)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
+    class Client;
+    class Server;
+#endif // !CAPNP_LITE
+
+    struct GossipParams;
+    struct GossipResults;
+    struct ReadConfigurationParams;
+    struct ReadConfigurationResults;
+    struct RunBranchParams;
+    struct RunBranchResults;
+    struct ResolveRequestParams;
+    struct ResolveRequestResults;
+    struct PingParams;
+    struct PingResults;
+
+#if !CAPNP_LITE
+    struct _capnpPrivate {
+        CAPNP_DECLARE_INTERFACE_HEADER(f2e46353aa7bfb58)
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+    };
+#endif // !CAPNP_LITE
 };
 
 struct Peer::GossipParams {
-  GossipParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e9dc1c590f04b945, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    GossipParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(e9dc1c590f04b945, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::GossipResults {
-  GossipResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82d1810e518ce591, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    GossipResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(82d1810e518ce591, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::ReadConfigurationParams {
-  ReadConfigurationParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4791bef577c7272, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ReadConfigurationParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(f4791bef577c7272, 1, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::ReadConfigurationResults {
-  ReadConfigurationResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcc0c08e7915e53d, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ReadConfigurationResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(bcc0c08e7915e53d, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::RunBranchParams {
-  RunBranchParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(853133f19d3e0365, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    RunBranchParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(853133f19d3e0365, 0, 2)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::RunBranchResults {
-  RunBranchResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a60eb0e0ebe17bef, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    RunBranchResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(a60eb0e0ebe17bef, 0, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::ResolveRequestParams {
-  ResolveRequestParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd695eac8a23efba, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ResolveRequestParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(dd695eac8a23efba, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::ResolveRequestResults {
-  ResolveRequestResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa3a0dcd61f6fcf3, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    ResolveRequestResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(aa3a0dcd61f6fcf3, 1, 1)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::PingParams {
-  PingParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e3dfb47970bafe7c, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    PingParams() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(e3dfb47970bafe7c, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 struct Peer::PingResults {
-  PingResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f82a671ed8cf74dc, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+    PingResults() = delete;
+
+    class Reader;
+    class Builder;
+    class Pipeline;
+
+    struct _capnpPrivate {
+        CAPNP_DECLARE_STRUCT_HEADER(f82a671ed8cf74dc, 0, 0)
+#if !CAPNP_LITE
+        static constexpr ::capnp::_::RawBrandedSchema const *brand()
+        {
+            return &schema->defaultBrand;
+        }
+#endif // !CAPNP_LITE
+    };
 };
 
 // =======================================================================================
 
-class MemberRecord::Reader {
+class MemberRecord::Reader
+{
 public:
-  typedef MemberRecord Reads;
+    typedef MemberRecord Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+    inline bool hasName() const;
+    inline ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getIncarnation() const;
+    inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getHeartbeat() const;
+    inline ::uint64_t getHeartbeat() const;
 
-  inline bool hasCallerAddress() const;
-  inline  ::capnp::Text::Reader getCallerAddress() const;
+    inline bool hasCallerAddress() const;
+    inline ::capnp::Text::Reader getCallerAddress() const;
 
-  inline bool hasPeerAddress() const;
-  inline  ::capnp::Text::Reader getPeerAddress() const;
+    inline bool hasPeerAddress() const;
+    inline ::capnp::Text::Reader getPeerAddress() const;
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+    inline bool hasDataCentre() const;
+    inline ::capnp::Text::Reader getDataCentre() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
-  inline  ::uint64_t getConfigurationNumber() const;
+    inline ::uint64_t getConfigurationNumber() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class MemberRecord::Builder {
+class MemberRecord::Builder
+{
 public:
-  typedef MemberRecord Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef MemberRecord Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getHeartbeat();
-  inline void setHeartbeat( ::uint64_t value);
-
-  inline bool hasCallerAddress();
-  inline  ::capnp::Text::Builder getCallerAddress();
-  inline void setCallerAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCallerAddress(unsigned int size);
-  inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
-
-  inline bool hasPeerAddress();
-  inline  ::capnp::Text::Builder getPeerAddress();
-  inline void setPeerAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
-  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
-
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
-
-  inline  ::uint64_t getConfigurationNumber();
-  inline void setConfigurationNumber( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasName();
+    inline ::capnp::Text::Builder getName();
+    inline void setName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initName(unsigned int size);
+    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownName();
+
+    inline ::uint64_t getIncarnation();
+    inline void setIncarnation(::uint64_t value);
+
+    inline ::uint64_t getHeartbeat();
+    inline void setHeartbeat(::uint64_t value);
+
+    inline bool hasCallerAddress();
+    inline ::capnp::Text::Builder getCallerAddress();
+    inline void setCallerAddress(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initCallerAddress(unsigned int size);
+    inline void adoptCallerAddress(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownCallerAddress();
+
+    inline bool hasPeerAddress();
+    inline ::capnp::Text::Builder getPeerAddress();
+    inline void setPeerAddress(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initPeerAddress(unsigned int size);
+    inline void adoptPeerAddress(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownPeerAddress();
+
+    inline bool hasDataCentre();
+    inline ::capnp::Text::Builder getDataCentre();
+    inline void setDataCentre(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+    inline void adoptDataCentre(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
+
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
+
+    inline ::uint64_t getConfigurationNumber();
+    inline void setConfigurationNumber(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class MemberRecord::Pipeline {
+class MemberRecord::Pipeline
+{
 public:
-  typedef MemberRecord Pipelines;
+    typedef MemberRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class KeyedBlob::Reader {
+class KeyedBlob::Reader
+{
 public:
-  typedef KeyedBlob Reads;
+    typedef KeyedBlob Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+    inline bool hasKey() const;
+    inline ::capnp::Text::Reader getKey() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
+    inline bool hasValue() const;
+    inline ::capnp::Data::Reader getValue() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class KeyedBlob::Builder {
+class KeyedBlob::Builder
+{
 public:
-  typedef KeyedBlob Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef KeyedBlob Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasKey();
+    inline ::capnp::Text::Builder getKey();
+    inline void setKey(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initKey(unsigned int size);
+    inline void adoptKey(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownKey();
+
+    inline bool hasValue();
+    inline ::capnp::Data::Builder getValue();
+    inline void setValue(::capnp::Data::Reader value);
+    inline ::capnp::Data::Builder initValue(unsigned int size);
+    inline void adoptValue(::capnp::Orphan<::capnp::Data> &&value);
+    inline ::capnp::Orphan<::capnp::Data> disownValue();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class KeyedBlob::Pipeline {
+class KeyedBlob::Pipeline
+{
 public:
-  typedef KeyedBlob Pipelines;
+    typedef KeyedBlob Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class DigestEntry::Reader {
+class DigestEntry::Reader
+{
 public:
-  typedef DigestEntry Reads;
+    typedef DigestEntry Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getId() const;
+    inline ::uint32_t getId() const;
 
-  inline  ::uint16_t getHeartbeat() const;
+    inline ::uint16_t getHeartbeat() const;
 
-  inline  ::uint8_t getLag() const;
+    inline ::uint8_t getLag() const;
 
-  inline bool getLeaving() const;
+    inline bool getLeaving() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class DigestEntry::Builder {
+class DigestEntry::Builder
+{
 public:
-  typedef DigestEntry Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef DigestEntry Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
+    inline ::uint32_t getId();
+    inline void setId(::uint32_t value);
 
-  inline  ::uint16_t getHeartbeat();
-  inline void setHeartbeat( ::uint16_t value);
+    inline ::uint16_t getHeartbeat();
+    inline void setHeartbeat(::uint16_t value);
 
-  inline  ::uint8_t getLag();
-  inline void setLag( ::uint8_t value);
+    inline ::uint8_t getLag();
+    inline void setLag(::uint8_t value);
 
-  inline bool getLeaving();
-  inline void setLeaving(bool value);
+    inline bool getLeaving();
+    inline void setLeaving(bool value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class DigestEntry::Pipeline {
+class DigestEntry::Pipeline
+{
 public:
-  typedef DigestEntry Pipelines;
+    typedef DigestEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class GossipMessage::Reader {
+class GossipMessage::Reader
+{
 public:
-  typedef GossipMessage Reads;
+    typedef GossipMessage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::capnp::Text::Reader getSender() const;
+    inline bool hasSender() const;
+    inline ::capnp::Text::Reader getSender() const;
 
-  inline  ::uint64_t getConfigurationNumber() const;
+    inline ::uint64_t getConfigurationNumber() const;
 
-  inline bool hasDigest() const;
-  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader getDigest() const;
+    inline bool hasDigest() const;
+    inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Reader getDigest() const;
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+    inline bool hasRecords() const;
+    inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
-  inline bool hasWanted() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+    inline bool hasWanted() const;
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
 
-  inline bool hasBlobs() const;
-  inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader getBlobs() const;
+    inline bool hasBlobs() const;
+    inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Reader getBlobs() const;
 
-  inline  ::uint64_t getNewestNumber() const;
+    inline ::uint64_t getNewestNumber() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class GossipMessage::Builder {
+class GossipMessage::Builder
+{
 public:
-  typedef GossipMessage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef GossipMessage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSender();
-  inline  ::capnp::Text::Builder getSender();
-  inline void setSender( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSender();
-
-  inline  ::uint64_t getConfigurationNumber();
-  inline void setConfigurationNumber( ::uint64_t value);
-
-  inline bool hasDigest();
-  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder getDigest();
-  inline void setDigest( ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>> disownDigest();
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline bool hasWanted();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
-  inline void setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setWanted(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
-  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
-
-  inline bool hasBlobs();
-  inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder getBlobs();
-  inline void setBlobs( ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder initBlobs(unsigned int size);
-  inline void adoptBlobs(::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>> disownBlobs();
-
-  inline  ::uint64_t getNewestNumber();
-  inline void setNewestNumber( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSender();
+    inline ::capnp::Text::Builder getSender();
+    inline void setSender(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initSender(unsigned int size);
+    inline void adoptSender(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownSender();
+
+    inline ::uint64_t getConfigurationNumber();
+    inline void setConfigurationNumber(::uint64_t value);
+
+    inline bool hasDigest();
+    inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Builder getDigest();
+    inline void setDigest(::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Builder initDigest(unsigned int size);
+    inline void adoptDigest(::capnp::Orphan<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>> disownDigest();
+
+    inline bool hasRecords();
+    inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder getRecords();
+    inline void setRecords(::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+    inline void
+    adoptRecords(::capnp::Orphan<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>> disownRecords();
+
+    inline bool hasWanted();
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+    inline void setWanted(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+    inline void setWanted(::kj::ArrayPtr<const ::uint32_t> value);
+    inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+    inline void adoptWanted(::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> disownWanted();
+
+    inline bool hasBlobs();
+    inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Builder getBlobs();
+    inline void setBlobs(::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Builder initBlobs(unsigned int size);
+    inline void adoptBlobs(::capnp::Orphan<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>> disownBlobs();
+
+    inline ::uint64_t getNewestNumber();
+    inline void setNewestNumber(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class GossipMessage::Pipeline {
+class GossipMessage::Pipeline
+{
 public:
-  typedef GossipMessage Pipelines;
+    typedef GossipMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchRequest::Reader {
+class BranchRequest::Reader
+{
 public:
-  typedef BranchRequest Reads;
+    typedef BranchRequest Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+    inline bool hasRequestId() const;
+    inline ::capnp::Text::Reader getRequestId() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+    inline bool hasService() const;
+    inline ::capnp::Text::Reader getService() const;
 
-  inline bool hasRoute() const;
-  inline  ::capnp::Text::Reader getRoute() const;
+    inline bool hasRoute() const;
+    inline ::capnp::Text::Reader getRoute() const;
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+    inline bool hasTeam() const;
+    inline ::capnp::Text::Reader getTeam() const;
 
-  inline bool hasSnapshot() const;
-  inline  ::capnp::Text::Reader getSnapshot() const;
+    inline bool hasSnapshot() const;
+    inline ::capnp::Text::Reader getSnapshot() const;
 
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+    inline bool hasVersion() const;
+    inline ::capnp::Text::Reader getVersion() const;
 
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+    inline bool hasText() const;
+    inline ::capnp::Text::Reader getText() const;
 
-  inline bool hasTraceParent() const;
-  inline  ::capnp::Text::Reader getTraceParent() const;
+    inline bool hasTraceParent() const;
+    inline ::capnp::Text::Reader getTraceParent() const;
 
-  inline  ::uint64_t getTimeRemainingMicroseconds() const;
+    inline ::uint64_t getTimeRemainingMicroseconds() const;
 
-  inline bool getIdempotent() const;
+    inline bool getIdempotent() const;
 
-  inline bool hasShards() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getShards() const;
+    inline bool hasShards() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getShards() const;
 
-  inline bool hasDataCentres() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentres() const;
+    inline bool hasDataCentres() const;
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getDataCentres() const;
 
-  inline  ::uint64_t getConfigurationNumber() const;
+    inline ::uint64_t getConfigurationNumber() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchRequest::Builder {
+class BranchRequest::Builder
+{
 public:
-  typedef BranchRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef BranchRequest Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasRoute();
-  inline  ::capnp::Text::Builder getRoute();
-  inline void setRoute( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRoute(unsigned int size);
-  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
-
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-  inline bool hasSnapshot();
-  inline  ::capnp::Text::Builder getSnapshot();
-  inline void setSnapshot( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSnapshot(unsigned int size);
-  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSnapshot();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
-
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
-
-  inline bool hasTraceParent();
-  inline  ::capnp::Text::Builder getTraceParent();
-  inline void setTraceParent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceParent(unsigned int size);
-  inline void adoptTraceParent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceParent();
-
-  inline  ::uint64_t getTimeRemainingMicroseconds();
-  inline void setTimeRemainingMicroseconds( ::uint64_t value);
-
-  inline bool getIdempotent();
-  inline void setIdempotent(bool value);
-
-  inline bool hasShards();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getShards();
-  inline void setShards( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setShards(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initShards(unsigned int size);
-  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownShards();
-
-  inline bool hasDataCentres();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDataCentres();
-  inline void setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDataCentres(unsigned int size);
-  inline void adoptDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentres();
-
-  inline  ::uint64_t getConfigurationNumber();
-  inline void setConfigurationNumber( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequestId();
+    inline ::capnp::Text::Builder getRequestId();
+    inline void setRequestId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequestId(unsigned int size);
+    inline void adoptRequestId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequestId();
+
+    inline bool hasService();
+    inline ::capnp::Text::Builder getService();
+    inline void setService(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initService(unsigned int size);
+    inline void adoptService(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownService();
+
+    inline bool hasRoute();
+    inline ::capnp::Text::Builder getRoute();
+    inline void setRoute(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRoute(unsigned int size);
+    inline void adoptRoute(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRoute();
+
+    inline bool hasTeam();
+    inline ::capnp::Text::Builder getTeam();
+    inline void setTeam(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initTeam(unsigned int size);
+    inline void adoptTeam(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownTeam();
+
+    inline bool hasSnapshot();
+    inline ::capnp::Text::Builder getSnapshot();
+    inline void setSnapshot(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initSnapshot(unsigned int size);
+    inline void adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownSnapshot();
+
+    inline bool hasVersion();
+    inline ::capnp::Text::Builder getVersion();
+    inline void setVersion(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initVersion(unsigned int size);
+    inline void adoptVersion(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownVersion();
+
+    inline bool hasText();
+    inline ::capnp::Text::Builder getText();
+    inline void setText(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initText(unsigned int size);
+    inline void adoptText(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownText();
+
+    inline bool hasTraceParent();
+    inline ::capnp::Text::Builder getTraceParent();
+    inline void setTraceParent(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initTraceParent(unsigned int size);
+    inline void adoptTraceParent(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownTraceParent();
+
+    inline ::uint64_t getTimeRemainingMicroseconds();
+    inline void setTimeRemainingMicroseconds(::uint64_t value);
+
+    inline bool getIdempotent();
+    inline void setIdempotent(bool value);
+
+    inline bool hasShards();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getShards();
+    inline void setShards(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setShards(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initShards(unsigned int size);
+    inline void adoptShards(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownShards();
+
+    inline bool hasDataCentres();
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getDataCentres();
+    inline void setDataCentres(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+    inline void setDataCentres(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+    inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initDataCentres(unsigned int size);
+    inline void adoptDataCentres(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownDataCentres();
+
+    inline ::uint64_t getConfigurationNumber();
+    inline void setConfigurationNumber(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchRequest::Pipeline {
+class BranchRequest::Pipeline
+{
 public:
-  typedef BranchRequest Pipelines;
+    typedef BranchRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class ResultItem::Reader {
+class ResultItem::Reader
+{
 public:
-  typedef ResultItem Reads;
+    typedef ResultItem Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+    inline bool hasId() const;
+    inline ::capnp::Text::Reader getId() const;
 
-  inline double getScore() const;
+    inline double getScore() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class ResultItem::Builder {
+class ResultItem::Builder
+{
 public:
-  typedef ResultItem Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ResultItem Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline double getScore();
-  inline void setScore(double value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasId();
+    inline ::capnp::Text::Builder getId();
+    inline void setId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initId(unsigned int size);
+    inline void adoptId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownId();
+
+    inline double getScore();
+    inline void setScore(double value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ResultItem::Pipeline {
+class ResultItem::Pipeline
+{
 public:
-  typedef ResultItem Pipelines;
+    typedef ResultItem Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchShardAnswer::Reader {
+class BranchShardAnswer::Reader
+{
 public:
-  typedef BranchShardAnswer Reads;
+    typedef BranchShardAnswer Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasShard() const;
-  inline  ::capnp::Text::Reader getShard() const;
+    inline bool hasShard() const;
+    inline ::capnp::Text::Reader getShard() const;
 
-  inline bool hasSnapshot() const;
-  inline  ::capnp::Text::Reader getSnapshot() const;
+    inline bool hasSnapshot() const;
+    inline ::capnp::Text::Reader getSnapshot() const;
 
-  inline bool hasItems() const;
-  inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+    inline bool hasItems() const;
+    inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Reader getItems() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchShardAnswer::Builder {
+class BranchShardAnswer::Builder
+{
 public:
-  typedef BranchShardAnswer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef BranchShardAnswer Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasShard();
-  inline  ::capnp::Text::Builder getShard();
-  inline void setShard( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initShard(unsigned int size);
-  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownShard();
-
-  inline bool hasSnapshot();
-  inline  ::capnp::Text::Builder getSnapshot();
-  inline void setSnapshot( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSnapshot(unsigned int size);
-  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSnapshot();
-
-  inline bool hasItems();
-  inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Builder getItems();
-  inline void setItems( ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
-  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>> disownItems();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasShard();
+    inline ::capnp::Text::Builder getShard();
+    inline void setShard(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initShard(unsigned int size);
+    inline void adoptShard(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownShard();
+
+    inline bool hasSnapshot();
+    inline ::capnp::Text::Builder getSnapshot();
+    inline void setSnapshot(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initSnapshot(unsigned int size);
+    inline void adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownSnapshot();
+
+    inline bool hasItems();
+    inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Builder getItems();
+    inline void setItems(::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+    inline void adoptItems(::capnp::Orphan<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>> disownItems();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchShardAnswer::Pipeline {
+class BranchShardAnswer::Pipeline
+{
 public:
-  typedef BranchShardAnswer Pipelines;
+    typedef BranchShardAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchShardFailure::Reader {
+class BranchShardFailure::Reader
+{
 public:
-  typedef BranchShardFailure Reads;
+    typedef BranchShardFailure Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasShard() const;
-  inline  ::capnp::Text::Reader getShard() const;
+    inline bool hasShard() const;
+    inline ::capnp::Text::Reader getShard() const;
 
-  inline  ::uint8_t getFailure() const;
+    inline ::uint8_t getFailure() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchShardFailure::Builder {
+class BranchShardFailure::Builder
+{
 public:
-  typedef BranchShardFailure Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef BranchShardFailure Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasShard();
-  inline  ::capnp::Text::Builder getShard();
-  inline void setShard( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initShard(unsigned int size);
-  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownShard();
-
-  inline  ::uint8_t getFailure();
-  inline void setFailure( ::uint8_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasShard();
+    inline ::capnp::Text::Builder getShard();
+    inline void setShard(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initShard(unsigned int size);
+    inline void adoptShard(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownShard();
+
+    inline ::uint8_t getFailure();
+    inline void setFailure(::uint8_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchShardFailure::Pipeline {
+class BranchShardFailure::Pipeline
+{
 public:
-  typedef BranchShardFailure Pipelines;
+    typedef BranchShardFailure Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class BranchSink::Client
-    : public virtual ::capnp::Capability::Client {
+class BranchSink::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef BranchSink Calls;
-  typedef BranchSink Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Wire::Schema::BranchSink::AnswersParams,  ::Wire::Schema::BranchSink::AnswersResults> answersRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef BranchSink Calls;
+    typedef BranchSink Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>> Client(::kj::Own<_t> &&server);
+    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::Wire::Schema::BranchSink::AnswersParams, ::Wire::Schema::BranchSink::AnswersResults>
+    answersRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
-  Client() = default;
+    Client() = default;
 };
 
-class BranchSink::Server
-    : public virtual ::capnp::Capability::Server {
+class BranchSink::Server : public virtual ::capnp::Capability::Server
+{
 public:
-  typedef BranchSink Serves;
+    typedef BranchSink Serves;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
 protected:
-  typedef  ::Wire::Schema::BranchSink::AnswersParams AnswersParams;
-  typedef  ::Wire::Schema::BranchSink::AnswersResults AnswersResults;
-  typedef ::capnp::CallContext<AnswersParams, AnswersResults> AnswersContext;
-  virtual ::kj::Promise<void> answers(AnswersContext context);
-
-  inline  ::Wire::Schema::BranchSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Wire::Schema::BranchSink>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+    typedef ::Wire::Schema::BranchSink::AnswersParams AnswersParams;
+    typedef ::Wire::Schema::BranchSink::AnswersResults AnswersResults;
+    typedef ::capnp::CallContext<AnswersParams, AnswersResults> AnswersContext;
+    virtual ::kj::Promise<void> answers(AnswersContext context);
+
+    inline ::Wire::Schema::BranchSink::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap().template castAs<::Wire::Schema::BranchSink>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchSink::AnswersParams::Reader {
+class BranchSink::AnswersParams::Reader
+{
 public:
-  typedef AnswersParams Reads;
+    typedef AnswersParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasAnswers() const;
-  inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+    inline bool hasAnswers() const;
+    inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Reader getAnswers() const;
 
-  inline bool hasFailures() const;
-  inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Reader getFailures() const;
+    inline bool hasFailures() const;
+    inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Reader getFailures() const;
 
-  inline  ::uint32_t getShardRequests() const;
+    inline ::uint32_t getShardRequests() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchSink::AnswersParams::Builder {
+class BranchSink::AnswersParams::Builder
+{
 public:
-  typedef AnswersParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef AnswersParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAnswers();
-  inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Builder getAnswers();
-  inline void setAnswers( ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
-  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>> disownAnswers();
-
-  inline bool hasFailures();
-  inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Builder getFailures();
-  inline void setFailures( ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Builder initFailures(unsigned int size);
-  inline void adoptFailures(::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>> disownFailures();
-
-  inline  ::uint32_t getShardRequests();
-  inline void setShardRequests( ::uint32_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasAnswers();
+    inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Builder getAnswers();
+    inline void setAnswers(::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Builder
+    initAnswers(unsigned int size);
+    inline void
+    adoptAnswers(::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>> disownAnswers();
+
+    inline bool hasFailures();
+    inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Builder getFailures();
+    inline void setFailures(::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Builder
+    initFailures(unsigned int size);
+    inline void
+    adoptFailures(::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>> disownFailures();
+
+    inline ::uint32_t getShardRequests();
+    inline void setShardRequests(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchSink::AnswersParams::Pipeline {
+class BranchSink::AnswersParams::Pipeline
+{
 public:
-  typedef AnswersParams Pipelines;
+    typedef AnswersParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchSink::AnswersResults::Reader {
+class BranchSink::AnswersResults::Reader
+{
 public:
-  typedef AnswersResults Reads;
+    typedef AnswersResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchSink::AnswersResults::Builder {
+class BranchSink::AnswersResults::Builder
+{
 public:
-  typedef AnswersResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef AnswersResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchSink::AnswersResults::Pipeline {
+class BranchSink::AnswersResults::Pipeline
+{
 public:
-  typedef AnswersResults Pipelines;
+    typedef AnswersResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class BranchSummary::Reader {
+class BranchSummary::Reader
+{
 public:
-  typedef BranchSummary Reads;
+    typedef BranchSummary Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getShardRequests() const;
+    inline ::uint32_t getShardRequests() const;
 
-  inline  ::uint32_t getMessages() const;
+    inline ::uint32_t getMessages() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class BranchSummary::Builder {
+class BranchSummary::Builder
+{
 public:
-  typedef BranchSummary Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef BranchSummary Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint32_t getShardRequests();
-  inline void setShardRequests( ::uint32_t value);
+    inline ::uint32_t getShardRequests();
+    inline void setShardRequests(::uint32_t value);
 
-  inline  ::uint32_t getMessages();
-  inline void setMessages( ::uint32_t value);
+    inline ::uint32_t getMessages();
+    inline void setMessages(::uint32_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class BranchSummary::Pipeline {
+class BranchSummary::Pipeline
+{
 public:
-  typedef BranchSummary Pipelines;
+    typedef BranchSummary Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class ConfigurationReply::Reader {
+class ConfigurationReply::Reader
+{
 public:
-  typedef ConfigurationReply Reads;
+    typedef ConfigurationReply Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+    inline ::uint64_t getNumber() const;
 
-  inline  ::uint64_t getBaseNumber() const;
+    inline ::uint64_t getBaseNumber() const;
 
-  inline bool hasText() const;
-  inline  ::capnp::Text::Reader getText() const;
+    inline bool hasText() const;
+    inline ::capnp::Text::Reader getText() const;
 
-  inline  ::uint64_t getChecksum() const;
+    inline ::uint64_t getChecksum() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class ConfigurationReply::Builder {
+class ConfigurationReply::Builder
+{
 public:
-  typedef ConfigurationReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ConfigurationReply Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+    inline ::uint64_t getNumber();
+    inline void setNumber(::uint64_t value);
 
-  inline  ::uint64_t getBaseNumber();
-  inline void setBaseNumber( ::uint64_t value);
+    inline ::uint64_t getBaseNumber();
+    inline void setBaseNumber(::uint64_t value);
 
-  inline bool hasText();
-  inline  ::capnp::Text::Builder getText();
-  inline void setText( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownText();
+    inline bool hasText();
+    inline ::capnp::Text::Builder getText();
+    inline void setText(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initText(unsigned int size);
+    inline void adoptText(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownText();
 
-  inline  ::uint64_t getChecksum();
-  inline void setChecksum( ::uint64_t value);
+    inline ::uint64_t getChecksum();
+    inline void setChecksum(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ConfigurationReply::Pipeline {
+class ConfigurationReply::Pipeline
+{
 public:
-  typedef ConfigurationReply Pipelines;
+    typedef ConfigurationReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
+
+class FeedEntry::Reader
+{
+public:
+    typedef FeedEntry Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasName() const;
+    inline ::capnp::Text::Reader getName() const;
+
+    inline ::uint64_t getRevision() const;
+
+    inline bool getDeleted() const;
+
+    inline bool hasContent() const;
+    inline ::capnp::Text::Reader getContent() const;
+
+private:
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class FeedEntry::Builder
+{
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Wire::Schema::Peer::GossipParams,  ::Wire::Schema::Peer::GossipResults> gossipRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Wire::Schema::Peer::ReadConfigurationParams,  ::Wire::Schema::Peer::ReadConfigurationResults> readConfigurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Wire::Schema::Peer::RunBranchParams,  ::Wire::Schema::Peer::RunBranchResults> runBranchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Wire::Schema::Peer::ResolveRequestParams,  ::Wire::Schema::Peer::ResolveRequestResults> resolveRequestRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Wire::Schema::Peer::PingParams,  ::Wire::Schema::Peer::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+    typedef FeedEntry Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasName();
+    inline ::capnp::Text::Builder getName();
+    inline void setName(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initName(unsigned int size);
+    inline void adoptName(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownName();
+
+    inline ::uint64_t getRevision();
+    inline void setRevision(::uint64_t value);
+
+    inline bool getDeleted();
+    inline void setDeleted(bool value);
+
+    inline bool hasContent();
+    inline ::capnp::Text::Builder getContent();
+    inline void setContent(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initContent(unsigned int size);
+    inline void adoptContent(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownContent();
 
-protected:
-  Client() = default;
+private:
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
+#if !CAPNP_LITE
+class FeedEntry::Pipeline
+{
 public:
-  typedef Peer Serves;
+    typedef FeedEntry Pipelines;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-protected:
-  typedef  ::Wire::Schema::Peer::GossipParams GossipParams;
-  typedef  ::Wire::Schema::Peer::GossipResults GossipResults;
-  typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
-  virtual ::kj::Promise<void> gossip(GossipContext context);
-  typedef  ::Wire::Schema::Peer::ReadConfigurationParams ReadConfigurationParams;
-  typedef  ::Wire::Schema::Peer::ReadConfigurationResults ReadConfigurationResults;
-  typedef ::capnp::CallContext<ReadConfigurationParams, ReadConfigurationResults> ReadConfigurationContext;
-  virtual ::kj::Promise<void> readConfiguration(ReadConfigurationContext context);
-  typedef  ::Wire::Schema::Peer::RunBranchParams RunBranchParams;
-  typedef  ::Wire::Schema::Peer::RunBranchResults RunBranchResults;
-  typedef ::capnp::CallContext<RunBranchParams, RunBranchResults> RunBranchContext;
-  virtual ::kj::Promise<void> runBranch(RunBranchContext context);
-  typedef  ::Wire::Schema::Peer::ResolveRequestParams ResolveRequestParams;
-  typedef  ::Wire::Schema::Peer::ResolveRequestResults ResolveRequestResults;
-  typedef ::capnp::CallContext<ResolveRequestParams, ResolveRequestResults> ResolveRequestContext;
-  virtual ::kj::Promise<void> resolveRequest(ResolveRequestContext context);
-  typedef  ::Wire::Schema::Peer::PingParams PingParams;
-  typedef  ::Wire::Schema::Peer::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-
-  inline  ::Wire::Schema::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Wire::Schema::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::GossipParams::Reader {
+class FeedKind::Reader
+{
 public:
-  typedef GossipParams Reads;
+    typedef FeedKind Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasKind() const;
+    inline ::capnp::Text::Reader getKind() const;
+
+    inline ::uint64_t getPosition() const;
 
-  inline bool hasMessage() const;
-  inline  ::Wire::Schema::GossipMessage::Reader getMessage() const;
+    inline bool getWhole() const;
+
+    inline bool hasEntries() const;
+    inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::GossipParams::Builder {
+class FeedKind::Builder
+{
 public:
-  typedef GossipParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef FeedKind Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessage();
-  inline  ::Wire::Schema::GossipMessage::Builder getMessage();
-  inline void setMessage( ::Wire::Schema::GossipMessage::Reader value);
-  inline  ::Wire::Schema::GossipMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::Wire::Schema::GossipMessage>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::GossipMessage> disownMessage();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasKind();
+    inline ::capnp::Text::Builder getKind();
+    inline void setKind(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initKind(unsigned int size);
+    inline void adoptKind(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownKind();
+
+    inline ::uint64_t getPosition();
+    inline void setPosition(::uint64_t value);
+
+    inline bool getWhole();
+    inline void setWhole(bool value);
+
+    inline bool hasEntries();
+    inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Builder getEntries();
+    inline void setEntries(::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+    inline void adoptEntries(::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>> disownEntries();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::GossipParams::Pipeline {
+class FeedKind::Pipeline
+{
 public:
-  typedef GossipParams Pipelines;
+    typedef FeedKind Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline  ::Wire::Schema::GossipMessage::Pipeline getMessage();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::GossipResults::Reader {
+class FeedPage::Reader
+{
 public:
-  typedef GossipResults Reads;
+    typedef FeedPage Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Wire::Schema::GossipMessage::Reader getReply() const;
+    inline bool hasKinds() const;
+    inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Reader getKinds() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::GossipResults::Builder {
+class FeedPage::Builder
+{
 public:
-  typedef GossipResults Builds;
+    typedef FeedPage Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasKinds();
+    inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Builder getKinds();
+    inline void setKinds(::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Reader value);
+    inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Builder initKinds(unsigned int size);
+    inline void adoptKinds(::capnp::Orphan<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>> &&value);
+    inline ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>> disownKinds();
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+private:
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+class FeedPage::Pipeline
+{
+public:
+    typedef FeedPage Pipelines;
 
-  inline bool hasReply();
-  inline  ::Wire::Schema::GossipMessage::Builder getReply();
-  inline void setReply( ::Wire::Schema::GossipMessage::Reader value);
-  inline  ::Wire::Schema::GossipMessage::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Wire::Schema::GossipMessage>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::GossipMessage> disownReply();
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
+#endif // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::GossipResults::Pipeline {
+class Peer::Client : public virtual ::capnp::Capability::Client
+{
 public:
-  typedef GossipResults Pipelines;
+    typedef Peer Calls;
+    typedef Peer Reads;
+
+    Client(decltype(nullptr));
+    explicit Client(::kj::Own<::capnp::ClientHook> &&hook);
+    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Server *>()>> Client(::kj::Own<_t> &&server);
+    template<typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t *, Client *>()>>
+    Client(::kj::Promise<_t> &&promise);
+    Client(::kj::Exception &&exception);
+    Client(Client &) = default;
+    Client(Client &&) = default;
+    Client &operator=(Client &other);
+    Client &operator=(Client &&other);
+
+    ::capnp::Request<::Wire::Schema::Peer::GossipParams, ::Wire::Schema::Peer::GossipResults>
+    gossipRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::Wire::Schema::Peer::ReadConfigurationParams, ::Wire::Schema::Peer::ReadConfigurationResults>
+    readConfigurationRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::Wire::Schema::Peer::RunBranchParams, ::Wire::Schema::Peer::RunBranchResults>
+    runBranchRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::Wire::Schema::Peer::ResolveRequestParams, ::Wire::Schema::Peer::ResolveRequestResults>
+    resolveRequestRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+    ::capnp::Request<::Wire::Schema::Peer::PingParams, ::Wire::Schema::Peer::PingResults>
+    pingRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+protected:
+    Client() = default;
+};
 
-  inline  ::Wire::Schema::GossipMessage::Pipeline getReply();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+class Peer::Server : public virtual ::capnp::Capability::Server
+{
+public:
+    typedef Peer Serves;
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCall(uint64_t interfaceId, uint16_t methodId,
+                 ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
+
+protected:
+    typedef ::Wire::Schema::Peer::GossipParams GossipParams;
+    typedef ::Wire::Schema::Peer::GossipResults GossipResults;
+    typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
+    virtual ::kj::Promise<void> gossip(GossipContext context);
+    typedef ::Wire::Schema::Peer::ReadConfigurationParams ReadConfigurationParams;
+    typedef ::Wire::Schema::Peer::ReadConfigurationResults ReadConfigurationResults;
+    typedef ::capnp::CallContext<ReadConfigurationParams, ReadConfigurationResults> ReadConfigurationContext;
+    virtual ::kj::Promise<void> readConfiguration(ReadConfigurationContext context);
+    typedef ::Wire::Schema::Peer::RunBranchParams RunBranchParams;
+    typedef ::Wire::Schema::Peer::RunBranchResults RunBranchResults;
+    typedef ::capnp::CallContext<RunBranchParams, RunBranchResults> RunBranchContext;
+    virtual ::kj::Promise<void> runBranch(RunBranchContext context);
+    typedef ::Wire::Schema::Peer::ResolveRequestParams ResolveRequestParams;
+    typedef ::Wire::Schema::Peer::ResolveRequestResults ResolveRequestResults;
+    typedef ::capnp::CallContext<ResolveRequestParams, ResolveRequestResults> ResolveRequestContext;
+    virtual ::kj::Promise<void> resolveRequest(ResolveRequestContext context);
+    typedef ::Wire::Schema::Peer::PingParams PingParams;
+    typedef ::Wire::Schema::Peer::PingResults PingResults;
+    typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+    virtual ::kj::Promise<void> ping(PingContext context);
+
+    inline ::Wire::Schema::Peer::Client thisCap()
+    {
+        return ::capnp::Capability::Server::thisCap().template castAs<::Wire::Schema::Peer>();
+    }
+
+    ::capnp::Capability::Server::DispatchCallResult
+    dispatchCallInternal(uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::ReadConfigurationParams::Reader {
+class Peer::GossipParams::Reader
+{
 public:
-  typedef ReadConfigurationParams Reads;
+    typedef GossipParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint64_t getAboveNumber() const;
+    inline bool hasMessage() const;
+    inline ::Wire::Schema::GossipMessage::Reader getMessage() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::ReadConfigurationParams::Builder {
+class Peer::GossipParams::Builder
+{
 public:
-  typedef ReadConfigurationParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef GossipParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getAboveNumber();
-  inline void setAboveNumber( ::uint64_t value);
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasMessage();
+    inline ::Wire::Schema::GossipMessage::Builder getMessage();
+    inline void setMessage(::Wire::Schema::GossipMessage::Reader value);
+    inline ::Wire::Schema::GossipMessage::Builder initMessage();
+    inline void adoptMessage(::capnp::Orphan<::Wire::Schema::GossipMessage> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::GossipMessage> disownMessage();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ReadConfigurationParams::Pipeline {
+class Peer::GossipParams::Pipeline
+{
 public:
-  typedef ReadConfigurationParams Pipelines;
+    typedef GossipParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::Wire::Schema::GossipMessage::Pipeline getMessage();
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::ReadConfigurationResults::Reader {
+class Peer::GossipResults::Reader
+{
 public:
-  typedef ReadConfigurationResults Reads;
+    typedef GossipResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::Wire::Schema::ConfigurationReply::Reader getReply() const;
+    inline bool hasReply() const;
+    inline ::Wire::Schema::GossipMessage::Reader getReply() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::ReadConfigurationResults::Builder {
+class Peer::GossipResults::Builder
+{
 public:
-  typedef ReadConfigurationResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef GossipResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReply();
-  inline  ::Wire::Schema::ConfigurationReply::Builder getReply();
-  inline void setReply( ::Wire::Schema::ConfigurationReply::Reader value);
-  inline  ::Wire::Schema::ConfigurationReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::Wire::Schema::ConfigurationReply>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::ConfigurationReply> disownReply();
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasReply();
+    inline ::Wire::Schema::GossipMessage::Builder getReply();
+    inline void setReply(::Wire::Schema::GossipMessage::Reader value);
+    inline ::Wire::Schema::GossipMessage::Builder initReply();
+    inline void adoptReply(::capnp::Orphan<::Wire::Schema::GossipMessage> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::GossipMessage> disownReply();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ReadConfigurationResults::Pipeline {
+class Peer::GossipResults::Pipeline
+{
 public:
-  typedef ReadConfigurationResults Pipelines;
+    typedef GossipResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::Wire::Schema::GossipMessage::Pipeline getReply();
 
-  inline  ::Wire::Schema::ConfigurationReply::Pipeline getReply();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::RunBranchParams::Reader {
+class Peer::ReadConfigurationParams::Reader
+{
 public:
-  typedef RunBranchParams Reads;
+    typedef ReadConfigurationParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::Wire::Schema::BranchRequest::Reader getRequest() const;
+    inline ::uint64_t getAboveNumber() const;
 
-  inline bool hasSink() const;
+private:
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::ReadConfigurationParams::Builder
+{
+public:
+    typedef ReadConfigurationParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline  ::Wire::Schema::BranchSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline ::uint64_t getAboveNumber();
+    inline void setAboveNumber(::uint64_t value);
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
-class Peer::RunBranchParams::Builder {
+#if !CAPNP_LITE
+class Peer::ReadConfigurationParams::Pipeline
+{
 public:
-  typedef RunBranchParams Builds;
+    typedef ReadConfigurationParams Pipelines;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+private:
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+};
+#endif // !CAPNP_LITE
+
+class Peer::ReadConfigurationResults::Reader
+{
+public:
+    typedef ReadConfigurationResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::Wire::Schema::BranchRequest::Builder getRequest();
-  inline void setRequest( ::Wire::Schema::BranchRequest::Reader value);
-  inline  ::Wire::Schema::BranchRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::Wire::Schema::BranchRequest>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::BranchRequest> disownRequest();
+    inline bool hasReply() const;
+    inline ::Wire::Schema::ConfigurationReply::Reader getReply() const;
 
-  inline bool hasSink();
+private:
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
+
+class Peer::ReadConfigurationResults::Builder
+{
+public:
+    typedef ReadConfigurationResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline  ::Wire::Schema::BranchSink::Client getSink();
-  inline void setSink( ::Wire::Schema::BranchSink::Client&& value);
-  inline void setSink( ::Wire::Schema::BranchSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::Wire::Schema::BranchSink>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::BranchSink> disownSink();
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasReply();
+    inline ::Wire::Schema::ConfigurationReply::Builder getReply();
+    inline void setReply(::Wire::Schema::ConfigurationReply::Reader value);
+    inline ::Wire::Schema::ConfigurationReply::Builder initReply();
+    inline void adoptReply(::capnp::Orphan<::Wire::Schema::ConfigurationReply> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::ConfigurationReply> disownReply();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::RunBranchParams::Pipeline {
+class Peer::ReadConfigurationResults::Pipeline
+{
 public:
-  typedef RunBranchParams Pipelines;
+    typedef ReadConfigurationResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
+
+    inline ::Wire::Schema::ConfigurationReply::Pipeline getReply();
 
-  inline  ::Wire::Schema::BranchRequest::Pipeline getRequest();
-  inline  ::Wire::Schema::BranchSink::Client getSink();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::RunBranchResults::Reader {
+class Peer::RunBranchParams::Reader
+{
 public:
-  typedef RunBranchResults Reads;
+    typedef RunBranchParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequest() const;
+    inline ::Wire::Schema::BranchRequest::Reader getRequest() const;
 
-  inline bool hasSummary() const;
-  inline  ::Wire::Schema::BranchSummary::Reader getSummary() const;
+    inline bool hasSink() const;
+#if !CAPNP_LITE
+    inline ::Wire::Schema::BranchSink::Client getSink() const;
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::RunBranchResults::Builder {
+class Peer::RunBranchParams::Builder
+{
 public:
-  typedef RunBranchResults Builds;
+    typedef RunBranchParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequest();
+    inline ::Wire::Schema::BranchRequest::Builder getRequest();
+    inline void setRequest(::Wire::Schema::BranchRequest::Reader value);
+    inline ::Wire::Schema::BranchRequest::Builder initRequest();
+    inline void adoptRequest(::capnp::Orphan<::Wire::Schema::BranchRequest> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::BranchRequest> disownRequest();
+
+    inline bool hasSink();
+#if !CAPNP_LITE
+    inline ::Wire::Schema::BranchSink::Client getSink();
+    inline void setSink(::Wire::Schema::BranchSink::Client &&value);
+    inline void setSink(::Wire::Schema::BranchSink::Client &value);
+    inline void adoptSink(::capnp::Orphan<::Wire::Schema::BranchSink> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::BranchSink> disownSink();
+#endif // !CAPNP_LITE
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+private:
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+class Peer::RunBranchParams::Pipeline
+{
+public:
+    typedef RunBranchParams Pipelines;
+
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline bool hasSummary();
-  inline  ::Wire::Schema::BranchSummary::Builder getSummary();
-  inline void setSummary( ::Wire::Schema::BranchSummary::Reader value);
-  inline  ::Wire::Schema::BranchSummary::Builder initSummary();
-  inline void adoptSummary(::capnp::Orphan< ::Wire::Schema::BranchSummary>&& value);
-  inline ::capnp::Orphan< ::Wire::Schema::BranchSummary> disownSummary();
+    inline ::Wire::Schema::BranchRequest::Pipeline getRequest();
+    inline ::Wire::Schema::BranchSink::Client getSink();
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
+#endif // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::RunBranchResults::Pipeline {
+class Peer::RunBranchResults::Reader
+{
 public:
-  typedef RunBranchResults Pipelines;
+    typedef RunBranchResults Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
+
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSummary() const;
+    inline ::Wire::Schema::BranchSummary::Reader getSummary() const;
 
-  inline  ::Wire::Schema::BranchSummary::Pipeline getSummary();
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
-#endif  // !CAPNP_LITE
 
-class Peer::ResolveRequestParams::Reader {
+class Peer::RunBranchResults::Builder
+{
 public:
-  typedef ResolveRequestParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    typedef RunBranchResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasSummary();
+    inline ::Wire::Schema::BranchSummary::Builder getSummary();
+    inline void setSummary(::Wire::Schema::BranchSummary::Reader value);
+    inline ::Wire::Schema::BranchSummary::Builder initSummary();
+    inline void adoptSummary(::capnp::Orphan<::Wire::Schema::BranchSummary> &&value);
+    inline ::capnp::Orphan<::Wire::Schema::BranchSummary> disownSummary();
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+private:
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+class Peer::RunBranchResults::Pipeline
+{
+public:
+    typedef RunBranchResults Pipelines;
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
-  inline  ::uint64_t getFingerprint() const;
+    inline ::Wire::Schema::BranchSummary::Pipeline getSummary();
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
+#endif // !CAPNP_LITE
 
-class Peer::ResolveRequestParams::Builder {
+class Peer::ResolveRequestParams::Reader
+{
 public:
-  typedef ResolveRequestParams Builds;
+    typedef ResolveRequestParams Reads;
+
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequestId() const;
+    inline ::capnp::Text::Reader getRequestId() const;
+
+    inline ::uint64_t getFingerprint() const;
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+private:
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
+};
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
+class Peer::ResolveRequestParams::Builder
+{
+public:
+    typedef ResolveRequestParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
+#if !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
+
+    inline bool hasRequestId();
+    inline ::capnp::Text::Builder getRequestId();
+    inline void setRequestId(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initRequestId(unsigned int size);
+    inline void adoptRequestId(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownRequestId();
+
+    inline ::uint64_t getFingerprint();
+    inline void setFingerprint(::uint64_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ResolveRequestParams::Pipeline {
+class Peer::ResolveRequestParams::Pipeline
+{
 public:
-  typedef ResolveRequestParams Pipelines;
+    typedef ResolveRequestParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::ResolveRequestResults::Reader {
+class Peer::ResolveRequestResults::Reader
+{
 public:
-  typedef ResolveRequestResults Reads;
+    typedef ResolveRequestResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint8_t getState() const;
+    inline ::uint8_t getState() const;
 
-  inline bool hasAnswer() const;
-  inline  ::capnp::Text::Reader getAnswer() const;
+    inline bool hasAnswer() const;
+    inline ::capnp::Text::Reader getAnswer() const;
 
-  inline  ::uint16_t getStatus() const;
+    inline ::uint16_t getStatus() const;
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::ResolveRequestResults::Builder {
+class Peer::ResolveRequestResults::Builder
+{
 public:
-  typedef ResolveRequestResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef ResolveRequestResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+    inline ::uint8_t getState();
+    inline void setState(::uint8_t value);
 
-  inline bool hasAnswer();
-  inline  ::capnp::Text::Builder getAnswer();
-  inline void setAnswer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAnswer();
+    inline bool hasAnswer();
+    inline ::capnp::Text::Builder getAnswer();
+    inline void setAnswer(::capnp::Text::Reader value);
+    inline ::capnp::Text::Builder initAnswer(unsigned int size);
+    inline void adoptAnswer(::capnp::Orphan<::capnp::Text> &&value);
+    inline ::capnp::Orphan<::capnp::Text> disownAnswer();
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+    inline ::uint16_t getStatus();
+    inline void setStatus(::uint16_t value);
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::ResolveRequestResults::Pipeline {
+class Peer::ResolveRequestResults::Pipeline
+{
 public:
-  typedef ResolveRequestResults Pipelines;
+    typedef ResolveRequestResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PingParams::Reader {
+class Peer::PingParams::Reader
+{
 public:
-  typedef PingParams Reads;
+    typedef PingParams Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PingParams::Builder {
+class Peer::PingParams::Builder
+{
 public:
-  typedef PingParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PingParams Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PingParams::Pipeline {
+class Peer::PingParams::Pipeline
+{
 public:
-  typedef PingParams Pipelines;
+    typedef PingParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
-class Peer::PingResults::Reader {
+class Peer::PingResults::Reader
+{
 public:
-  typedef PingResults Reads;
+    typedef PingResults Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+    Reader() = default;
+    inline explicit Reader(::capnp::_::StructReader base)
+        : _reader(base)
+    {
+    }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return _reader.totalSize().asPublic();
+    }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+    ::capnp::_::StructReader _reader;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
+    template<typename, ::capnp::Kind> friend struct ::capnp::List;
+    friend class ::capnp::MessageBuilder;
+    friend class ::capnp::Orphanage;
 };
 
-class Peer::PingResults::Builder {
+class Peer::PingResults::Builder
+{
 public:
-  typedef PingResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+    typedef PingResults Builds;
+
+    Builder() = delete; // Deleted to discourage incorrect usage.
+                        // You can explicitly initialize to nullptr instead.
+    inline Builder(decltype(nullptr))
+    {
+    }
+    inline explicit Builder(::capnp::_::StructBuilder base)
+        : _builder(base)
+    {
+    }
+    inline operator Reader() const
+    {
+        return Reader(_builder.asReader());
+    }
+    inline Reader asReader() const
+    {
+        return *this;
+    }
+
+    inline ::capnp::MessageSize totalSize() const
+    {
+        return asReader().totalSize();
+    }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+    inline ::kj::StringTree toString() const
+    {
+        return asReader().toString();
+    }
+#endif // !CAPNP_LITE
 
 private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+    ::capnp::_::StructBuilder _builder;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
+    friend class ::capnp::Orphanage;
+    template<typename, ::capnp::Kind> friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Peer::PingResults::Pipeline {
+class Peer::PingResults::Pipeline
+{
 public:
-  typedef PingResults Pipelines;
+    typedef PingResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
