-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+    inline Pipeline(decltype(nullptr))
+        : _typeless(nullptr)
+    {
+    }
+    inline explicit Pipeline(::capnp::AnyPointer::Pipeline &&typeless)
+        : _typeless(kj::mv(typeless))
+    {
+    }
 
 private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+    ::capnp::AnyPointer::Pipeline _typeless;
+    friend class ::capnp::PipelineHook;
+    template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
 };
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool MemberRecord::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberRecord::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberRecord::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder MemberRecord::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberRecord::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Reader::getIncarnation() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Builder::getIncarnation()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setIncarnation(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberRecord::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Reader::getHeartbeat() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Builder::getHeartbeat()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setHeartbeat( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setHeartbeat(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberRecord::Reader::hasCallerAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Reader::hasCallerAddress() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasCallerAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Builder::hasCallerAddress()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getCallerAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberRecord::Reader::getCallerAddress() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getCallerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberRecord::Builder::getCallerAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setCallerAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setCallerAddress(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initCallerAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder MemberRecord::Builder::initCallerAddress(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptCallerAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptCallerAddress(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownCallerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownCallerAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasPeerAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Reader::hasPeerAddress() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberRecord::Builder::hasPeerAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Builder::hasPeerAddress()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getPeerAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberRecord::Reader::getPeerAddress() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberRecord::Builder::getPeerAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void MemberRecord::Builder::setPeerAddress(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::initPeerAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder MemberRecord::Builder::initPeerAddress(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MemberRecord::Builder::adoptPeerAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void MemberRecord::Builder::adoptPeerAddress(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownPeerAddress()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberRecord::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool MemberRecord::Reader::hasDataCentre() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberRecord::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline bool MemberRecord::Builder::hasDataCentre()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder MemberRecord::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader MemberRecord::Reader::getDataCentre() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberRecord::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void MemberRecord::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder MemberRecord::Builder::getDataCentre()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MemberRecord::Builder::setDataCentre(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder MemberRecord::Builder::initDataCentre(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MemberRecord::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownDataCentre()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool MemberRecord::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
+inline bool MemberRecord::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
 
-inline bool MemberRecord::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool MemberRecord::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberRecord::Reader::getConfigurationNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Reader::getConfigurationNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberRecord::Builder::getConfigurationNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t MemberRecord::Builder::getConfigurationNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setConfigurationNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void MemberRecord::Builder::setConfigurationNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyedBlob::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool KeyedBlob::Reader::hasKey() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyedBlob::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool KeyedBlob::Builder::hasKey()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader KeyedBlob::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader KeyedBlob::Reader::getKey() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder KeyedBlob::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder KeyedBlob::Builder::getKey()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeyedBlob::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void KeyedBlob::Builder::setKey(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder KeyedBlob::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder KeyedBlob::Builder::initKey(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeyedBlob::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void KeyedBlob::Builder::adoptKey(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> KeyedBlob::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> KeyedBlob::Builder::disownKey()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool KeyedBlob::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool KeyedBlob::Reader::hasValue() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyedBlob::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool KeyedBlob::Builder::hasValue()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader KeyedBlob::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader KeyedBlob::Reader::getValue() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder KeyedBlob::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder KeyedBlob::Builder::getValue()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KeyedBlob::Builder::setValue( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void KeyedBlob::Builder::setValue(::capnp::Data::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Data::Builder KeyedBlob::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder KeyedBlob::Builder::initValue(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void KeyedBlob::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void KeyedBlob::Builder::adoptValue(::capnp::Orphan<::capnp::Data> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> KeyedBlob::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> KeyedBlob::Builder::disownValue()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t DigestEntry::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t DigestEntry::Reader::getId() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t DigestEntry::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t DigestEntry::Builder::getId()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DigestEntry::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void DigestEntry::Builder::setId(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t DigestEntry::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t DigestEntry::Reader::getHeartbeat() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t DigestEntry::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t DigestEntry::Builder::getHeartbeat()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void DigestEntry::Builder::setHeartbeat( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void DigestEntry::Builder::setHeartbeat(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t DigestEntry::Reader::getLag() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t DigestEntry::Reader::getLag() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t DigestEntry::Builder::getLag() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t DigestEntry::Builder::getLag()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void DigestEntry::Builder::setLag( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void DigestEntry::Builder::setLag(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool DigestEntry::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+inline bool DigestEntry::Reader::getLeaving() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS);
 }
 
-inline bool DigestEntry::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+inline bool DigestEntry::Builder::getLeaving()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS);
 }
-inline void DigestEntry::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
+inline void DigestEntry::Builder::setLeaving(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Reader::hasSender() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Builder::hasSender()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipMessage::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader GossipMessage::Reader::getSender() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder GossipMessage::Builder::getSender()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setSender( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void GossipMessage::Builder::setSender(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::initSender(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder GossipMessage::Builder::initSender(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptSender(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipMessage::Builder::adoptSender(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> GossipMessage::Builder::disownSender()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GossipMessage::Reader::getConfigurationNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipMessage::Reader::getConfigurationNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipMessage::Builder::getConfigurationNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t GossipMessage::Builder::getConfigurationNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::Builder::setConfigurationNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void GossipMessage::Builder::setConfigurationNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasDigest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Reader::hasDigest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasDigest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool GossipMessage::Builder::hasDigest()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getDigest() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getDigest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setDigest( ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void
+GossipMessage::Builder::setDigest(::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initDigest(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initDigest(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptDigest(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::DigestEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool GossipMessage::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setRecords( ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownDigest()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::DigestEntry, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasRecords() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasRecords()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader
+GossipMessage::Reader::getRecords() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getRecords()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void
+GossipMessage::Builder::setRecords(::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initRecords(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void GossipMessage::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool GossipMessage::Reader::hasWanted() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasWanted() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getWanted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownRecords()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::MemberRecord, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasWanted() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasWanted()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getWanted() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getWanted()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setWanted(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setWanted(::kj::ArrayPtr<const ::uint32_t> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+GossipMessage::Builder::initWanted(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void
+GossipMessage::Builder::adoptWanted(::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownWanted()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasBlobs() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasBlobs()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getBlobs() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getBlobs()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void
+GossipMessage::Builder::setBlobs(::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>::Builder
+GossipMessage::Builder::initBlobs(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void GossipMessage::Builder::setWanted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void GossipMessage::Builder::setWanted(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initWanted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void GossipMessage::Builder::adoptWanted(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void GossipMessage::Builder::adoptBlobs(
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownWanted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>
+GossipMessage::Builder::disownBlobs()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::KeyedBlob, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::hasBlobs() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool GossipMessage::Builder::hasBlobs() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getBlobs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getBlobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::uint64_t GossipMessage::Reader::getNewestNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t GossipMessage::Builder::getNewestNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setNewestNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BranchRequest::Reader::hasRequestId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasRequestId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getRequestId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setRequestId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initRequestId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptRequestId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasService() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasService()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getService() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getService()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setService(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initService(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptService(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownService()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasRoute() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasRoute()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getRoute() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getRoute()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setRoute(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initRoute(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptRoute(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownRoute()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasTeam() const
+{
+    return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasTeam()
+{
+    return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getTeam() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getTeam()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setTeam(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initTeam(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptTeam(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownTeam()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasSnapshot() const
+{
+    return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasSnapshot()
+{
+    return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getSnapshot() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getSnapshot()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setSnapshot(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initSnapshot(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownSnapshot()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasVersion() const
+{
+    return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasVersion()
+{
+    return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getVersion() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::getVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setVersion(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initVersion(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptVersion(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownVersion()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasText()
+{
+    return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void GossipMessage::Builder::setBlobs( ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline ::capnp::Text::Reader BranchRequest::Reader::getText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initBlobs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder BranchRequest::Builder::getText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::adoptBlobs(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void BranchRequest::Builder::setText(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptText(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool BranchRequest::Reader::hasTraceParent() const
+{
+    return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchRequest::Builder::hasTraceParent()
+{
+    return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchRequest::Reader::getTraceParent() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownBlobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::KeyedBlob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder BranchRequest::Builder::getTraceParent()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void BranchRequest::Builder::setTraceParent(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchRequest::Builder::initTraceParent(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void BranchRequest::Builder::adoptTraceParent(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchRequest::Builder::disownTraceParent()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t BranchRequest::Reader::getTimeRemainingMicroseconds() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t BranchRequest::Builder::getTimeRemainingMicroseconds()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BranchRequest::Builder::setTimeRemainingMicroseconds(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BranchRequest::Reader::getIdempotent() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GossipMessage::Reader::getNewestNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+inline bool BranchRequest::Builder::getIdempotent()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void BranchRequest::Builder::setIdempotent(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
 
-inline  ::uint64_t GossipMessage::Builder::getNewestNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void GossipMessage::Builder::setNewestNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool BranchRequest::Reader::hasShards() const
+{
+    return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool BranchRequest::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool BranchRequest::Builder::hasShards()
+{
+    return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool BranchRequest::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader BranchRequest::Reader::getShards() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Reader BranchRequest::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::getShards()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void BranchRequest::Builder::setShards(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline void BranchRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void BranchRequest::Builder::setShards(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::initShards(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+BranchRequest::Builder::adoptShards(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> BranchRequest::Builder::disownShards()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool BranchRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool BranchRequest::Reader::hasDataCentres() const
+{
+    return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline bool BranchRequest::Builder::hasDataCentres()
+{
+    return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline void BranchRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader BranchRequest::Reader::getDataCentres() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::getDataCentres()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void BranchRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void BranchRequest::Builder::setDataCentres(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void BranchRequest::Builder::setDataCentres(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-
-inline bool BranchRequest::Reader::hasRoute() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasRoute() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchRequest::Reader::getRoute() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::getRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setRoute( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::initRoute(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+BranchRequest::Builder::initDataCentres(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::adoptRoute(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void
+BranchRequest::Builder::adoptDataCentres(::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> BranchRequest::Builder::disownDataCentres()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+        _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool BranchRequest::Reader::hasTeam() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasTeam() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchRequest::Reader::getTeam() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::getTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setTeam( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::initTeam(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::uint64_t BranchRequest::Reader::getConfigurationNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t BranchRequest::Builder::getConfigurationNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BranchRequest::Builder::setConfigurationNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ResultItem::Reader::hasId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ResultItem::Builder::hasId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader ResultItem::Reader::getId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ResultItem::Builder::getId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ResultItem::Builder::setId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder ResultItem::Builder::initId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ResultItem::Builder::adoptId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void BranchRequest::Builder::adoptTeam(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ResultItem::Builder::disownId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BranchRequest::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasSnapshot() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchRequest::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline double ResultItem::Reader::getScore() const
+{
+    return _reader.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double ResultItem::Builder::getScore()
+{
+    return _builder.getDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ResultItem::Builder::setScore(double value)
+{
+    _builder.setDataField<double>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BranchShardAnswer::Reader::hasShard() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchShardAnswer::Builder::hasShard()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchShardAnswer::Reader::getShard() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchShardAnswer::Builder::getShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BranchShardAnswer::Builder::setShard(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder BranchShardAnswer::Builder::initShard(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::setSnapshot( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void BranchShardAnswer::Builder::adoptShard(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::initSnapshot(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Orphan<::capnp::Text> BranchShardAnswer::Builder::disownShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BranchShardAnswer::Reader::hasSnapshot() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchShardAnswer::Builder::hasSnapshot()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader BranchShardAnswer::Reader::getSnapshot() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder BranchShardAnswer::Builder::getSnapshot()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BranchShardAnswer::Builder::setSnapshot(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                                                   value);
+}
+inline ::capnp::Text::Builder BranchShardAnswer::Builder::initSnapshot(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BranchShardAnswer::Builder::adoptSnapshot(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> BranchShardAnswer::Builder::disownSnapshot()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BranchShardAnswer::Reader::hasItems() const
+{
+    return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchShardAnswer::Builder::hasItems()
+{
+    return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Reader
+BranchShardAnswer::Reader::getItems() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Builder BranchShardAnswer::Builder::getItems()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void
+BranchShardAnswer::Builder::setItems(::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>::Builder
+BranchShardAnswer::Builder::initItems(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void BranchShardAnswer::Builder::adoptItems(
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>
+BranchShardAnswer::Builder::disownItems()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::ResultItem, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool BranchRequest::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool BranchShardFailure::Reader::hasShard() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BranchRequest::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+inline bool BranchShardFailure::Builder::hasShard()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BranchRequest::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader BranchShardFailure::Reader::getShard() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder BranchShardFailure::Builder::getShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BranchRequest::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void BranchShardFailure::Builder::setShard(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder BranchShardFailure::Builder::initShard(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void BranchShardFailure::Builder::adoptShard(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> BranchShardFailure::Builder::disownShard()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BranchRequest::Reader::hasText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchRequest::Reader::getText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::getText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setText( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
-}
-inline void BranchRequest::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::uint8_t BranchShardFailure::Reader::getFailure() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool BranchRequest::Reader::hasTraceParent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline ::uint8_t BranchShardFailure::Builder::getFailure()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool BranchRequest::Builder::hasTraceParent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline void BranchShardFailure::Builder::setFailure(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader BranchRequest::Reader::getTraceParent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BranchRequest::Builder::getTraceParent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setTraceParent( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+
+#if !CAPNP_LITE
+inline BranchSink::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr)
+{
+}
+inline BranchSink::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
+}
+template<typename _t, typename>
+inline BranchSink::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
+}
+template<typename _t, typename>
+inline BranchSink::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
+}
+inline BranchSink::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
+}
+inline ::Wire::Schema::BranchSink::Client &BranchSink::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
+}
+inline ::Wire::Schema::BranchSink::Client &BranchSink::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
+}
+
+#endif // !CAPNP_LITE
+inline bool BranchSink::AnswersParams::Reader::hasAnswers() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchSink::AnswersParams::Builder::hasAnswers()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Reader
+BranchSink::AnswersParams::Reader::getAnswers() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Builder
+BranchSink::AnswersParams::Builder::getAnswers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BranchSink::AnswersParams::Builder::setAnswers(
+    ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>::Builder
+BranchSink::AnswersParams::Builder::initAnswers(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::Text::Builder BranchRequest::Builder::initTraceParent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline void BranchSink::AnswersParams::Builder::adoptAnswers(
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>
+BranchSink::AnswersParams::Builder::disownAnswers()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardAnswer, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BranchSink::AnswersParams::Reader::hasFailures() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BranchSink::AnswersParams::Builder::hasFailures()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Reader
+BranchSink::AnswersParams::Reader::getFailures() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Builder
+BranchSink::AnswersParams::Builder::getFailures()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BranchSink::AnswersParams::Builder::setFailures(
+    ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>::Builder
+BranchSink::AnswersParams::Builder::initFailures(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void BranchRequest::Builder::adoptTraceParent(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void BranchSink::AnswersParams::Builder::adoptFailures(
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchRequest::Builder::disownTraceParent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>
+BranchSink::AnswersParams::Builder::disownFailures()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::BranchShardFailure, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t BranchRequest::Reader::getTimeRemainingMicroseconds() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t BranchSink::AnswersParams::Reader::getShardRequests() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t BranchRequest::Builder::getTimeRemainingMicroseconds() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t BranchSink::AnswersParams::Builder::getShardRequests()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BranchRequest::Builder::setTimeRemainingMicroseconds( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void BranchSink::AnswersParams::Builder::setShardRequests(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BranchRequest::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline ::uint32_t BranchSummary::Reader::getShardRequests() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool BranchRequest::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline ::uint32_t BranchSummary::Builder::getShardRequests()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BranchRequest::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void BranchSummary::Builder::setShardRequests(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BranchRequest::Reader::hasShards() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasShards() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader BranchRequest::Reader::getShards() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::getShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setShards( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline void BranchRequest::Builder::setShards(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::initShards(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
-}
-inline void BranchRequest::Builder::adoptShards(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> BranchRequest::Builder::disownShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::uint32_t BranchSummary::Reader::getMessages() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool BranchRequest::Reader::hasDataCentres() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchRequest::Builder::hasDataCentres() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader BranchRequest::Reader::getDataCentres() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::getDataCentres() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline void BranchRequest::Builder::setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
-}
-inline void BranchRequest::Builder::setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BranchRequest::Builder::initDataCentres(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
-}
-inline void BranchRequest::Builder::adoptDataCentres(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+inline ::uint32_t BranchSummary::Builder::getMessages()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> BranchRequest::Builder::disownDataCentres() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<9>() * ::capnp::POINTERS));
+inline void BranchSummary::Builder::setMessages(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t BranchRequest::Reader::getConfigurationNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigurationReply::Reader::getNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t BranchRequest::Builder::getConfigurationNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigurationReply::Builder::getNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BranchRequest::Builder::setConfigurationNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationReply::Builder::setNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ResultItem::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ResultItem::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ResultItem::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ResultItem::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ResultItem::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ResultItem::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ResultItem::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ResultItem::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline double ResultItem::Reader::getScore() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigurationReply::Reader::getBaseNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double ResultItem::Builder::getScore() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t ConfigurationReply::Builder::getBaseNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ResultItem::Builder::setScore(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ConfigurationReply::Builder::setBaseNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BranchShardAnswer::Reader::hasShard() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ConfigurationReply::Reader::hasText() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BranchShardAnswer::Builder::hasShard() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool ConfigurationReply::Builder::hasText()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BranchShardAnswer::Reader::getShard() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ConfigurationReply::Reader::getText() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BranchShardAnswer::Builder::getShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ConfigurationReply::Builder::getText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BranchShardAnswer::Builder::setShard( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ConfigurationReply::Builder::setText(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder BranchShardAnswer::Builder::initShard(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ConfigurationReply::Builder::initText(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BranchShardAnswer::Builder::adoptShard(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ConfigurationReply::Builder::adoptText(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchShardAnswer::Builder::disownShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ConfigurationReply::Builder::disownText()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BranchShardAnswer::Reader::hasSnapshot() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchShardAnswer::Builder::hasSnapshot() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BranchShardAnswer::Reader::getSnapshot() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BranchShardAnswer::Builder::getSnapshot() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void BranchShardAnswer::Builder::setSnapshot( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BranchShardAnswer::Builder::initSnapshot(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void BranchShardAnswer::Builder::adoptSnapshot(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> BranchShardAnswer::Builder::disownSnapshot() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::uint64_t ConfigurationReply::Reader::getChecksum() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool BranchShardAnswer::Reader::hasItems() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchShardAnswer::Builder::hasItems() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline ::uint64_t ConfigurationReply::Builder::getChecksum()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Reader BranchShardAnswer::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Builder BranchShardAnswer::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void BranchShardAnswer::Builder::setItems( ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>::Builder BranchShardAnswer::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void BranchShardAnswer::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>> BranchShardAnswer::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::ResultItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void ConfigurationReply::Builder::setChecksum(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BranchShardFailure::Reader::hasShard() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool FeedEntry::Reader::hasName() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BranchShardFailure::Builder::hasShard() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool FeedEntry::Builder::hasName()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BranchShardFailure::Reader::getShard() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader FeedEntry::Reader::getName() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BranchShardFailure::Builder::getShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder FeedEntry::Builder::getName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BranchShardFailure::Builder::setShard( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void FeedEntry::Builder::setName(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder BranchShardFailure::Builder::initShard(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder FeedEntry::Builder::initName(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void BranchShardFailure::Builder::adoptShard(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void FeedEntry::Builder::adoptName(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BranchShardFailure::Builder::disownShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> FeedEntry::Builder::disownName()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t BranchShardFailure::Reader::getFailure() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t FeedEntry::Reader::getRevision() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t BranchShardFailure::Builder::getFailure() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t FeedEntry::Builder::getRevision()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BranchShardFailure::Builder::setFailure( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void FeedEntry::Builder::setRevision(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-#if !CAPNP_LITE
-inline BranchSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline BranchSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline BranchSink::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline BranchSink::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline BranchSink::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::Wire::Schema::BranchSink::Client& BranchSink::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::Wire::Schema::BranchSink::Client& BranchSink::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool BranchSink::AnswersParams::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool BranchSink::AnswersParams::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Reader BranchSink::AnswersParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Builder BranchSink::AnswersParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void BranchSink::AnswersParams::Builder::setAnswers( ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>::Builder BranchSink::AnswersParams::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline bool FeedEntry::Reader::getDeleted() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void BranchSink::AnswersParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool FeedEntry::Builder::getDeleted()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>> BranchSink::AnswersParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void FeedEntry::Builder::setDeleted(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BranchSink::AnswersParams::Reader::hasFailures() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool FeedEntry::Reader::hasContent() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool BranchSink::AnswersParams::Builder::hasFailures() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool FeedEntry::Builder::hasContent()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Reader BranchSink::AnswersParams::Reader::getFailures() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader FeedEntry::Reader::getContent() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Builder BranchSink::AnswersParams::Builder::getFailures() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder FeedEntry::Builder::getContent()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void BranchSink::AnswersParams::Builder::setFailures( ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void FeedEntry::Builder::setContent(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>::Builder BranchSink::AnswersParams::Builder::initFailures(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder FeedEntry::Builder::initContent(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void BranchSink::AnswersParams::Builder::adoptFailures(
-    ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void FeedEntry::Builder::adoptContent(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>> BranchSink::AnswersParams::Builder::disownFailures() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Wire::Schema::BranchShardFailure,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> FeedEntry::Builder::disownContent()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t BranchSink::AnswersParams::Reader::getShardRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FeedKind::Reader::hasKind() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t BranchSink::AnswersParams::Builder::getShardRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool FeedKind::Builder::hasKind()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void BranchSink::AnswersParams::Builder::setShardRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Text::Reader FeedKind::Reader::getKind() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BranchSummary::Reader::getShardRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Text::Builder FeedKind::Builder::getKind()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BranchSummary::Builder::getShardRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void FeedKind::Builder::setKind(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline void BranchSummary::Builder::setShardRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t BranchSummary::Reader::getMessages() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::capnp::Text::Builder FeedKind::Builder::initKind(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t BranchSummary::Builder::getMessages() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void FeedKind::Builder::adoptKind(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void BranchSummary::Builder::setMessages( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan<::capnp::Text> FeedKind::Builder::disownKind()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigurationReply::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t FeedKind::Reader::getPosition() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigurationReply::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfigurationReply::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::uint64_t FeedKind::Builder::getPosition()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeedKind::Builder::setPosition(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigurationReply::Reader::getBaseNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool FeedKind::Reader::getWhole() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigurationReply::Builder::getBaseNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool FeedKind::Builder::getWhole()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void FeedKind::Builder::setWhole(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedKind::Reader::hasEntries() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedKind::Builder::hasEntries()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Reader FeedKind::Reader::getEntries() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigurationReply::Builder::setBaseNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Builder FeedKind::Builder::getEntries()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool ConfigurationReply::Reader::hasText() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline void FeedKind::Builder::setEntries(::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline bool ConfigurationReply::Builder::hasText() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Builder
+FeedKind::Builder::initEntries(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline  ::capnp::Text::Reader ConfigurationReply::Reader::getText() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void FeedKind::Builder::adoptEntries(
+    ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::capnp::Text::Builder ConfigurationReply::Builder::getText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>
+FeedKind::Builder::disownEntries()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigurationReply::Builder::setText( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline bool FeedPage::Reader::hasKinds() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder ConfigurationReply::Builder::initText(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline bool FeedPage::Builder::hasKinds()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ConfigurationReply::Builder::adoptText(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Reader FeedPage::Reader::getKinds() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationReply::Builder::disownText() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Builder FeedPage::Builder::getKinds()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ConfigurationReply::Reader::getChecksum() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void FeedPage::Builder::setKinds(::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t ConfigurationReply::Builder::getChecksum() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>::Builder
+FeedPage::Builder::initKinds(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationReply::Builder::setChecksum( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void
+FeedPage::Builder::adoptKinds(::capnp::Orphan<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>> FeedPage::Builder::disownKinds()
+{
+    return ::capnp::_::PointerHelpers<::capnp::List<::Wire::Schema::FeedKind, ::capnp::Kind::STRUCT>>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::Wire::Schema::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::Wire::Schema::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Peer::GossipParams::Reader::hasMessage() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::GossipParams::Builder::hasMessage() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Wire::Schema::GossipMessage::Reader Peer::GossipParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Wire::Schema::GossipMessage::Builder Peer::GossipParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+    : ::capnp::Capability::Client(nullptr)
+{
 }
-#if !CAPNP_LITE
-inline  ::Wire::Schema::GossipMessage::Pipeline Peer::GossipParams::Pipeline::getMessage() {
-  return  ::Wire::Schema::GossipMessage::Pipeline(_typeless.getPointerField(0));
+inline Peer::Client::Client(::kj::Own<::capnp::ClientHook> &&hook)
+    : ::capnp::Capability::Client(::kj::mv(hook))
+{
+}
+template<typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t> &&server)
+    : ::capnp::Capability::Client(::kj::mv(server))
+{
 }
-#endif  // !CAPNP_LITE
-inline void Peer::GossipParams::Builder::setMessage( ::Wire::Schema::GossipMessage::Reader value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+template<typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t> &&promise)
+    : ::capnp::Capability::Client(::kj::mv(promise))
+{
 }
-inline  ::Wire::Schema::GossipMessage::Builder Peer::GossipParams::Builder::initMessage() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline Peer::Client::Client(::kj::Exception &&exception)
+    : ::capnp::Capability::Client(::kj::mv(exception))
+{
 }
-inline void Peer::GossipParams::Builder::adoptMessage(
-    ::capnp::Orphan< ::Wire::Schema::GossipMessage>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::Wire::Schema::Peer::Client &Peer::Client::operator=(Client &other)
+{
+    ::capnp::Capability::Client::operator=(other);
+    return *this;
 }
-inline ::capnp::Orphan< ::Wire::Schema::GossipMessage> Peer::GossipParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::Peer::Client &Peer::Client::operator=(Client &&other)
+{
+    ::capnp::Capability::Client::operator=(kj::mv(other));
+    return *this;
 }
 
-inline bool Peer::GossipResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+#endif // !CAPNP_LITE
+inline bool Peer::GossipParams::Reader::hasMessage() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::GossipResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::GossipParams::Builder::hasMessage()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Wire::Schema::GossipMessage::Reader Peer::GossipResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::GossipMessage::Reader Peer::GossipParams::Reader::getMessage() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Wire::Schema::GossipMessage::Builder Peer::GossipResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::GossipMessage::Builder Peer::GossipParams::Builder::getMessage()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Wire::Schema::GossipMessage::Pipeline Peer::GossipResults::Pipeline::getReply() {
-  return  ::Wire::Schema::GossipMessage::Pipeline(_typeless.getPointerField(0));
+inline ::Wire::Schema::GossipMessage::Pipeline Peer::GossipParams::Pipeline::getMessage()
+{
+    return ::Wire::Schema::GossipMessage::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::GossipParams::Builder::setMessage(::Wire::Schema::GossipMessage::Reader value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::Wire::Schema::GossipMessage::Builder Peer::GossipParams::Builder::initMessage()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::GossipParams::Builder::adoptMessage(::capnp::Orphan<::Wire::Schema::GossipMessage> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::Wire::Schema::GossipMessage> Peer::GossipParams::Builder::disownMessage()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::GossipResults::Reader::hasReply() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::GossipResults::Builder::hasReply()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::Wire::Schema::GossipMessage::Reader Peer::GossipResults::Reader::getReply() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::Wire::Schema::GossipMessage::Builder Peer::GossipResults::Builder::getReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Peer::GossipResults::Builder::setReply( ::Wire::Schema::GossipMessage::Reader value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline ::Wire::Schema::GossipMessage::Pipeline Peer::GossipResults::Pipeline::getReply()
+{
+    return ::Wire::Schema::GossipMessage::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::Wire::Schema::GossipMessage::Builder Peer::GossipResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#endif // !CAPNP_LITE
+inline void Peer::GossipResults::Builder::setReply(::Wire::Schema::GossipMessage::Reader value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::GossipResults::Builder::adoptReply(
-    ::capnp::Orphan< ::Wire::Schema::GossipMessage>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::Wire::Schema::GossipMessage::Builder Peer::GossipResults::Builder::initReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::Wire::Schema::GossipMessage> Peer::GossipResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::GossipMessage>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::GossipResults::Builder::adoptReply(::capnp::Orphan<::Wire::Schema::GossipMessage> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t Peer::ReadConfigurationParams::Reader::getAboveNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan<::Wire::Schema::GossipMessage> Peer::GossipResults::Builder::disownReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::GossipMessage>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ReadConfigurationParams::Builder::getAboveNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ReadConfigurationParams::Builder::setAboveNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::uint64_t Peer::ReadConfigurationParams::Reader::getAboveNumber() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::ReadConfigurationResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::ReadConfigurationResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Wire::Schema::ConfigurationReply::Reader Peer::ReadConfigurationResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::Wire::Schema::ConfigurationReply::Pipeline Peer::ReadConfigurationResults::Pipeline::getReply() {
-  return  ::Wire::Schema::ConfigurationReply::Pipeline(_typeless.getPointerField(0));
+inline ::uint64_t Peer::ReadConfigurationParams::Builder::getAboveNumber()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Peer::ReadConfigurationResults::Builder::setReply( ::Wire::Schema::ConfigurationReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::ReadConfigurationResults::Builder::adoptReply(
-    ::capnp::Orphan< ::Wire::Schema::ConfigurationReply>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Wire::Schema::ConfigurationReply> Peer::ReadConfigurationResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::ConfigurationReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::ReadConfigurationParams::Builder::setAboveNumber(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::RunBranchParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ReadConfigurationResults::Reader::hasReply() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::RunBranchParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ReadConfigurationResults::Builder::hasReply()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Wire::Schema::BranchRequest::Reader Peer::RunBranchParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::ConfigurationReply::Reader Peer::ReadConfigurationResults::Reader::getReply() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Wire::Schema::BranchRequest::Builder Peer::RunBranchParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::getReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Wire::Schema::BranchRequest::Pipeline Peer::RunBranchParams::Pipeline::getRequest() {
-  return  ::Wire::Schema::BranchRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::RunBranchParams::Builder::setRequest( ::Wire::Schema::BranchRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Wire::Schema::BranchRequest::Builder Peer::RunBranchParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::RunBranchParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::Wire::Schema::BranchRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Wire::Schema::BranchRequest> Peer::RunBranchParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::RunBranchParams::Reader::hasSink() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunBranchParams::Builder::hasSink() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline ::Wire::Schema::ConfigurationReply::Pipeline Peer::ReadConfigurationResults::Pipeline::getReply()
+{
+    return ::Wire::Schema::ConfigurationReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif // !CAPNP_LITE
+inline void Peer::ReadConfigurationResults::Builder::setReply(::Wire::Schema::ConfigurationReply::Reader value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::Wire::Schema::ConfigurationReply::Builder Peer::ReadConfigurationResults::Builder::initReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void
+Peer::ReadConfigurationResults::Builder::adoptReply(::capnp::Orphan<::Wire::Schema::ConfigurationReply> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::Wire::Schema::ConfigurationReply> Peer::ReadConfigurationResults::Builder::disownReply()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::ConfigurationReply>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::RunBranchParams::Reader::hasRequest() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RunBranchParams::Builder::hasRequest()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::Wire::Schema::BranchRequest::Reader Peer::RunBranchParams::Reader::getRequest() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::Wire::Schema::BranchRequest::Builder Peer::RunBranchParams::Builder::getRequest()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::Wire::Schema::BranchRequest::Pipeline Peer::RunBranchParams::Pipeline::getRequest()
+{
+    return ::Wire::Schema::BranchRequest::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+#endif // !CAPNP_LITE
+inline void Peer::RunBranchParams::Builder::setRequest(::Wire::Schema::BranchRequest::Reader value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Pipeline::getSink() {
-  return  ::Wire::Schema::BranchSink::Client(_typeless.getPointerField(1).asCap());
+inline ::Wire::Schema::BranchRequest::Builder Peer::RunBranchParams::Builder::initRequest()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::RunBranchParams::Builder::setSink( ::Wire::Schema::BranchSink::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Peer::RunBranchParams::Builder::adoptRequest(::capnp::Orphan<::Wire::Schema::BranchRequest> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::RunBranchParams::Builder::setSink( ::Wire::Schema::BranchSink::Client& cap) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline ::capnp::Orphan<::Wire::Schema::BranchRequest> Peer::RunBranchParams::Builder::disownRequest()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchRequest>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::RunBranchParams::Builder::adoptSink(
-    ::capnp::Orphan< ::Wire::Schema::BranchSink>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Wire::Schema::BranchSink> Peer::RunBranchParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSink>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
 
-inline bool Peer::RunBranchResults::Reader::hasSummary() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::RunBranchResults::Builder::hasSummary() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::RunBranchParams::Reader::hasSink() const
+{
+    return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Wire::Schema::BranchSummary::Reader Peer::RunBranchResults::Reader::getSummary() const {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool Peer::RunBranchParams::Builder::hasSink()
+{
+    return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Wire::Schema::BranchSummary::Builder Peer::RunBranchResults::Builder::getSummary() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+#if !CAPNP_LITE
+inline ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Reader::getSink() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::get(
+        _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Builder::getSink()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::get(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::Wire::Schema::BranchSink::Client Peer::RunBranchParams::Pipeline::getSink()
+{
+    return ::Wire::Schema::BranchSink::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Peer::RunBranchParams::Builder::setSink(::Wire::Schema::BranchSink::Client &&cap)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Peer::RunBranchParams::Builder::setSink(::Wire::Schema::BranchSink::Client &cap)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::set(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void Peer::RunBranchParams::Builder::adoptSink(::capnp::Orphan<::Wire::Schema::BranchSink> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::adopt(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::Wire::Schema::BranchSink> Peer::RunBranchParams::Builder::disownSink()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSink>::disown(
+        _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif // !CAPNP_LITE
+
+inline bool Peer::RunBranchResults::Reader::hasSummary() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::RunBranchResults::Builder::hasSummary()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::Wire::Schema::BranchSummary::Reader Peer::RunBranchResults::Reader::getSummary() const
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::Wire::Schema::BranchSummary::Builder Peer::RunBranchResults::Builder::getSummary()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Wire::Schema::BranchSummary::Pipeline Peer::RunBranchResults::Pipeline::getSummary() {
-  return  ::Wire::Schema::BranchSummary::Pipeline(_typeless.getPointerField(0));
+inline ::Wire::Schema::BranchSummary::Pipeline Peer::RunBranchResults::Pipeline::getSummary()
+{
+    return ::Wire::Schema::BranchSummary::Pipeline(_typeless.getPointerField(0));
 }
-#endif  // !CAPNP_LITE
-inline void Peer::RunBranchResults::Builder::setSummary( ::Wire::Schema::BranchSummary::Reader value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#endif // !CAPNP_LITE
+inline void Peer::RunBranchResults::Builder::setSummary(::Wire::Schema::BranchSummary::Reader value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::set(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Wire::Schema::BranchSummary::Builder Peer::RunBranchResults::Builder::initSummary() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::Wire::Schema::BranchSummary::Builder Peer::RunBranchResults::Builder::initSummary()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::RunBranchResults::Builder::adoptSummary(
-    ::capnp::Orphan< ::Wire::Schema::BranchSummary>&& value) {
-  ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::RunBranchResults::Builder::adoptSummary(::capnp::Orphan<::Wire::Schema::BranchSummary> &&value)
+{
+    ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Wire::Schema::BranchSummary> Peer::RunBranchResults::Builder::disownSummary() {
-  return ::capnp::_::PointerHelpers< ::Wire::Schema::BranchSummary>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::Wire::Schema::BranchSummary> Peer::RunBranchResults::Builder::disownSummary()
+{
+    return ::capnp::_::PointerHelpers<::Wire::Schema::BranchSummary>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ResolveRequestParams::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ResolveRequestParams::Reader::hasRequestId() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ResolveRequestParams::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ResolveRequestParams::Builder::hasRequestId()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ResolveRequestParams::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::ResolveRequestParams::Reader::getRequestId() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ResolveRequestParams::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::ResolveRequestParams::Builder::getRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ResolveRequestParams::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ResolveRequestParams::Builder::setRequestId(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder Peer::ResolveRequestParams::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::ResolveRequestParams::Builder::initRequestId(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ResolveRequestParams::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ResolveRequestParams::Builder::adoptRequestId(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ResolveRequestParams::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::ResolveRequestParams::Builder::disownRequestId()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ResolveRequestParams::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::ResolveRequestParams::Reader::getFingerprint() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ResolveRequestParams::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::ResolveRequestParams::Builder::getFingerprint()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ResolveRequestParams::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ResolveRequestParams::Builder::setFingerprint(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Peer::ResolveRequestResults::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Peer::ResolveRequestResults::Reader::getState() const
+{
+    return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Peer::ResolveRequestResults::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Peer::ResolveRequestResults::Builder::getState()
+{
+    return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ResolveRequestResults::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ResolveRequestResults::Builder::setState(::uint8_t value)
+{
+    _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ResolveRequestResults::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ResolveRequestResults::Reader::hasAnswer() const
+{
+    return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ResolveRequestResults::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ResolveRequestResults::Builder::hasAnswer()
+{
+    return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ResolveRequestResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::ResolveRequestResults::Reader::getAnswer() const
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ResolveRequestResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::ResolveRequestResults::Builder::getAnswer()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ResolveRequestResults::Builder::setAnswer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ResolveRequestResults::Builder::setAnswer(::capnp::Text::Reader value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+                                                   value);
 }
-inline  ::capnp::Text::Builder Peer::ResolveRequestResults::Builder::initAnswer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::ResolveRequestResults::Builder::initAnswer(unsigned int size)
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ResolveRequestResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ResolveRequestResults::Builder::adoptAnswer(::capnp::Orphan<::capnp::Text> &&value)
+{
+    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ResolveRequestResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::ResolveRequestResults::Builder::disownAnswer()
+{
+    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+        _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Peer::ResolveRequestResults::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Peer::ResolveRequestResults::Reader::getStatus() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Peer::ResolveRequestResults::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Peer::ResolveRequestResults::Builder::getStatus()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ResolveRequestResults::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Peer::ResolveRequestResults::Builder::setStatus(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace
-}  // namespace
+} // namespace Schema
+} // namespace Wire
 
 CAPNP_END_HEADER
-
