LibExchange: Judge sources fairly and let seeds ask the store first

Cause: after a watcher was turned away, its followers blamed the next source for the lag that they brought along, and at the start each of 88 daemons took itself for a watcher.

--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -23,7 +23,7 @@
 
 feed_control::feed_control(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
                            peer_exchange &exchange, Configuration::configuration_document places,
-                           const std::vector<std::string> &kinds, callbacks hooks)
+                           const std::vector<std::string> &kinds, bool isSeed, callbacks hooks)
     : m_timers(timers)
     , m_log(log)
     , m_exchange(exchange)
@@ -42,9 +42,16 @@
                          },
                      .sources =
                          [this]() {
-                             return Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_places,
-                                                         std::chrono::steady_clock::now())
-                                 .sources;
+                             std::vector<std::string> sources
+                                 = Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_places,
+                                                        std::chrono::steady_clock::now())
+                                       .sources;
+                             if (!m_complete) {
+                                 // A new daemon's view of the fleet is small; the seeds ask the store at once.
+                                 const std::vector<std::string> &seeds = m_exchange.table().seedAddresses;
+                                 sources.insert(sources.end(), seeds.begin(), seeds.end());
+                             }
+                             return sources;
                          },
                      .onNews = [this](const std::vector<feed_kind> &news) { takeNews(news); },
                      .onNoSource =
@@ -64,6 +71,7 @@
                          },
                  })
     , m_random(exchange.table().self.incarnation)
+    , m_isSeed(isSeed)
 {
     for (const std::string &kind : kinds) {
         m_states[kind];
@@ -137,7 +145,7 @@
 {
     constexpr Core::duration toleratedLoss = 1s; // A store that is back by then has cut the watches only.
     const bool lost = m_storeLostSince && now - *m_storeLostSince > toleratedLoss;
-    m_server.setSource(m_direct && m_complete && !lost);
+    m_server.setSource(m_direct && !lost);
 }
 
 void feed_control::decide(Core::time_point now)
@@ -145,11 +153,13 @@
     const Membership::feed_plan plan = Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_places, now);
     const Membership::member_table &table = m_exchange.table();
     feed_view view;
-    view.watchesStore = plan.watchesStore;
-    view.hasSources = !plan.sources.empty();
+    view.watchesStore = plan.watchesStore || (m_isSeed && !m_complete);
+    view.hasSources = !plan.sources.empty() || (!m_complete && !table.seedAddresses.empty());
     view.hearsPeers = table.members.empty() || now - table.peerHeardAt < peerSilence;
-    view.isBehind = m_complete && Membership::newestNumber(table, m_exchange.settings(), now) > m_newest;
+    view.known = m_newest;
+    view.newest = m_complete ? Membership::newestNumber(table, m_exchange.settings(), now) : m_newest;
     view.isDirect = m_direct;
+    view.sourceSince = m_follower.sourceSince();
     view.storeLostFor = m_storeLostSince ? now - *m_storeLostSince : Core::duration {};
     const feed_decision decision = decideFeed(m_role, view, now);
     updateSource(now);
@@ -160,6 +170,10 @@
     } else if (!m_direct && !m_follower.isFollowing() && !m_waitsForTurn) {
         m_follower.start();
     }
+    if (decision.switchSource && !m_direct) {
+        m_log.write("feed_switch", {{"known", m_newest}, {"newest", view.newest}});
+        m_follower.switchSource();
+    }
     if (decision.refresh) {
         m_log.write("feed_refresh", {{"known", m_newest}});
         m_hooks.refresh();
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -31,7 +31,7 @@
 
     feed_control(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
                  peer_exchange &exchange, Configuration::configuration_document places,
-                 const std::vector<std::string> &kinds, callbacks hooks);
+                 const std::vector<std::string> &kinds, bool isSeed, callbacks hooks);
 
     /// Takes news from the store or from a source.
     void takeNews(const std::vector<feed_kind> &news);
@@ -62,6 +62,7 @@
     Core::random_engine m_random;
     std::optional<Core::time_point> m_storeLostSince;
     std::uint64_t m_newest = 0; ///< The highest revision of an object that was there.
+    bool m_isSeed; ///< New daemons turn to this one.
     bool m_direct = false;
     bool m_complete = false;
     bool m_waitsForTurn = false; ///< No source answers, and the daemon waits for its turn to ask the store.
--- a/Libraries/LibExchange/FeedFollower.cpp
+++ b/Libraries/LibExchange/FeedFollower.cpp
@@ -44,11 +44,25 @@
     m_source.clear();
 }
 
+void feed_follower::switchSource()
+{
+    if (m_following && !m_source.empty()) {
+        m_avoidUntil[m_source] = std::chrono::steady_clock::now() + sourceAvoidance;
+        stop();
+        start();
+    }
+}
+
 bool feed_follower::isFollowing() const
 {
     return m_following;
 }
 
+Core::time_point feed_follower::sourceSince() const
+{
+    return m_sourceSince;
+}
+
 void feed_follower::ask()
 {
     const Core::time_point now = std::chrono::steady_clock::now();
@@ -69,6 +83,7 @@
     if (*chosen != m_source) {
         m_log.write("feed_source", {{"source", *chosen}, {"before", m_source}});
         m_source = *chosen;
+        m_sourceSince = now;
         m_channel = std::make_unique<Front::http_channel>(
             m_loop, m_timers, boost::asio::ip::tcp::endpoint {address->address, address->port});
     }
--- a/Libraries/LibExchange/FeedFollower.h
+++ b/Libraries/LibExchange/FeedFollower.h
@@ -42,7 +42,11 @@
 
     void start();
     void stop();
+    /// Leaves the present source for another one.
+    void switchSource();
     [[nodiscard]] bool isFollowing() const;
+    /// Since when the present source is asked.
+    [[nodiscard]] Core::time_point sourceSince() const;
 
 private:
     void ask();
@@ -54,6 +58,7 @@
     callbacks m_hooks;
     std::unique_ptr<Front::http_channel> m_channel;
     std::string m_source; ///< Address that the channel leads to.
+    Core::time_point m_sourceSince;
     std::map<std::string, Core::time_point> m_avoidUntil; ///< Sources that failed lately.
     bool m_following = false;
 };
