--- a/Libraries/LibMembership/FeedPlan.cpp
+++ b/Libraries/LibMembership/FeedPlan.cpp
@@ -16,7 +16,7 @@
 namespace Membership
 {
 /// One watcher hands on to so many daemons: each costs it a wake-up for every change.
-static constexpr std::size_t daemonsPerWatcher = 30;
+static constexpr std::size_t daemonsPerWatcher = 15;
 
 static std::size_t watcherCount(std::size_t daemons)
 {
--- a/Libraries/LibMembership/Gossip.cpp
+++ b/Libraries/LibMembership/Gossip.cpp
@@ -107,12 +107,19 @@
     return addresses[std::uniform_int_distribution<std::size_t>(0, addresses.size() - 1)(random)];
 }
 
+/// Whether a round's message goes to a daemon wherever it is.
+enum class reach {
+    OwnDataCentre,
+    Anywhere,
+};
+
 static std::vector<std::string> liveAddresses(const member_table &table, const membership_settings &settings,
-                                              Core::time_point now)
+                                              reach wanted, Core::time_point now)
 {
     std::vector<std::string> addresses;
     for (const member_record *member : liveMembers(table, settings, now)) {
-        if (member != &table.self) {
+        const bool isNear = member->dataCentre == table.self.dataCentre;
+        if (member != &table.self && (isNear || wanted == reach::Anywhere)) {
             addresses.push_back(member->peerAddress);
         }
     }
@@ -144,7 +151,14 @@
                                        Core::time_point now, Core::random_engine &random)
 {
     std::vector<std::string> targets;
-    const std::vector<std::string> live = liveAddresses(table, settings, now);
+    // A new daemon has to learn of the whole fleet first.
+    const bool isNew = table.round < static_cast<std::uint64_t>(settings.quickRounds);
+    const bool isFar = isNew || table.round % static_cast<std::uint64_t>(settings.farPart) == 0;
+    std::vector<std::string> live
+        = liveAddresses(table, settings, isFar ? reach::Anywhere : reach::OwnDataCentre, now);
+    if (live.empty()) {
+        live = liveAddresses(table, settings, reach::Anywhere, now);
+    }
     if (!live.empty()) {
         targets.push_back(drawAddress(live, random));
     }
@@ -159,7 +173,7 @@
 std::vector<std::string> chooseAnnounceTargets(const member_table &table, const membership_settings &settings,
                                                Core::time_point now, Core::random_engine &random)
 {
-    std::vector<std::string> live = liveAddresses(table, settings, now);
+    std::vector<std::string> live = liveAddresses(table, settings, reach::Anywhere, now);
     std::shuffle(live.begin(), live.end(), random);
     live.resize(std::min(live.size(), static_cast<std::size_t>(settings.announceFanOut)));
     return live;
