LibFront: Write the time left when a request is sent, and drop attempts that wait in vain

Attempts of a finished request that still waited for a connection were sent all the same. Ruled out: processor time (0.017 cores at most).

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -101,8 +101,9 @@
 
 void replica_connection::write()
 {
+    m_text = m_exchange->makeText(std::chrono::steady_clock::now());
     boost::asio::async_write(
-        m_socket, boost::asio::buffer(m_exchange->text),
+        m_socket, boost::asio::buffer(m_text),
         [self = shared_from_this(), ticket = m_exchange->ticket](const boost::system::error_code &error, std::size_t) {
             if (self->m_exchange && self->m_exchange->ticket == ticket) {
                 // A failed write shows at the read as well, after what the replica still sent.
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -63,6 +63,7 @@
     std::string m_input;
     std::optional<reply_parser> m_parser;
     std::optional<replica_exchange> m_exchange;
+    std::string m_text; ///< The request that is being sent.
     Core::time_point m_usableUntil = Core::time_point::max(); ///< The replica closes an idle connection after that.
     Core::time_point m_lastUsed;
     bool m_connected = false;
--- a/Libraries/LibFront/ReplicaConnections.cpp
+++ b/Libraries/LibFront/ReplicaConnections.cpp
@@ -89,15 +89,24 @@
     }
 }
 
-bool replica_connections::cancel(const Forward::replica_key &key, std::uint64_t ticket)
+bool replica_connections::cancelWaiting(const Forward::replica_key &key, std::uint64_t ticket)
 {
     replica_endpoint &endpoint = m_endpoints[key];
     const auto waiting = std::find_if(endpoint.waiting.begin(), endpoint.waiting.end(),
                                       [&](const replica_exchange &exchange) { return exchange.ticket == ticket; });
-    if (waiting != endpoint.waiting.end()) {
-        endpoint.waiting.erase(waiting);
+    if (waiting == endpoint.waiting.end()) {
         return false;
     }
+    endpoint.waiting.erase(waiting);
+    return true;
+}
+
+bool replica_connections::cancel(const Forward::replica_key &key, std::uint64_t ticket)
+{
+    if (cancelWaiting(key, ticket)) {
+        return false;
+    }
+    replica_endpoint &endpoint = m_endpoints[key];
     for (const auto &connection : endpoint.connections) {
         if (connection->ticket() == ticket) {
             connection->close();
--- a/Libraries/LibFront/ReplicaConnections.h
+++ b/Libraries/LibFront/ReplicaConnections.h
@@ -24,6 +24,8 @@
     /// Ends an exchange without its callback. Closes the connection that it runs on.
     /// Returns whether the request had been handed to a connection.
     bool cancel(const Forward::replica_key &key, std::uint64_t ticket);
+    /// Ends an exchange that still waits for a connection, without its callback. Returns whether there was one.
+    bool cancelWaiting(const Forward::replica_key &key, std::uint64_t ticket);
     /// Closes the idle connections to a replica that is gone; running exchanges end first.
     void drop(const Forward::replica_key &key);
 
--- a/Libraries/LibFront/ReplicaExchange.h
+++ b/Libraries/LibFront/ReplicaExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/Time.h"
 #include "LibFront/ExchangeEnd.h"
 
 #include <cstdint>
@@ -11,7 +12,8 @@
 /// One request to a replica.
 struct replica_exchange {
     std::uint64_t ticket = 0;
-    std::string text; ///< The whole request.
+    /// Makes the whole request at the moment when it is sent: it says how much time is left by then.
+    std::function<std::string(Core::time_point)> makeText;
     std::string requestId; ///< An answer that names another one belongs to another request.
     bool isHead = false; ///< The answer has no body.
     bool needsFreshConnection = false; ///< The request must not meet a connection that the replica may just close.
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -70,9 +70,10 @@
 {
     Forward::forward_context &context = m_environment.forward;
     const Forward::replica_entry &entry = Forward::replicaAt(context.book, send.replica).entry;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_callerLeavesAt - now).count();
     replica_exchange exchange;
-    exchange.text = attemptText(m_text, m_environment.names, std::max<std::int64_t>(left, 1), entry.id);
+    exchange.makeText = [self = shared_from_this(), instance = entry.id](Core::time_point at) {
+        return self->attemptTextAt(instance, at);
+    };
     exchange.requestId = m_requestId;
     exchange.isHead = m_isHead;
     exchange.needsFreshConnection = m_request.plan.matched->repeat == Forward::repeat_policy::AtMostOnce;
@@ -86,6 +87,12 @@
     open.ticket = m_environment.connections.submit(send.replica, entry.address, connections, std::move(exchange));
 }
 
+std::string request_task::attemptTextAt(const std::string &instance, Core::time_point now) const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_callerLeavesAt - now).count();
+    return attemptText(m_text, m_environment.names, std::max<std::int64_t>(left, 1), instance);
+}
+
 void request_task::onEnd(std::uint32_t attempt, exchange_end end)
 {
     const auto found = m_open.find(attempt);
@@ -162,10 +169,20 @@
 
 void request_task::cancelLater(Core::duration delay)
 {
+    const Core::time_point now = std::chrono::steady_clock::now();
+    std::erase_if(m_open, [&](const auto &entry) {
+        const open_attempt &open = entry.second;
+        if (!m_environment.connections.cancelWaiting(open.replica, open.ticket)) {
+            return false;
+        }
+        Forward::recordFailure(m_environment.forward.book, open.replica, Forward::attempt_failure::NotExecuted,
+                               open.sentAt, now);
+        return true;
+    });
     if (m_open.empty()) {
         return;
     }
-    m_environment.timers.schedule(std::chrono::steady_clock::now() + delay,
+    m_environment.timers.schedule(now + delay,
                                   [self = shared_from_this()](Core::time_point now) { self->cancelOpen(now); });
 }
 
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -45,6 +45,8 @@
                      Core::time_point now);
     void learnLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now);
     void setWake(Core::time_point when);
+    [[nodiscard]] std::string attemptTextAt(const std::string &instance, Core::time_point now) const;
+    /// Cancels the attempts that wait for a connection now, and the others if they have not ended after the delay.
     void cancelLater(Core::duration delay);
     void cancelOpen(Core::time_point now);
     void finish(Forward::request_verdict verdict, Core::time_point now);
