--- a/Libraries/LibForward/ChoiceFilter.h
+++ b/Libraries/LibForward/ChoiceFilter.h
@@ -11,7 +11,7 @@
 /// Which replicas of a service may be chosen for one attempt.
 struct choice_filter {
     const service_policy *policy = nullptr; ///< The service's policy; null: none is known.
-    std::span<const std::string> allowedRegions; ///< Empty: all.
-    std::span<const std::size_t> tried; ///< Replicas that this request was sent to already.
+    std::span<const std::string> allowedRegions {}; ///< Empty: all.
+    std::span<const std::size_t> tried {}; ///< Replicas that this request was sent to already.
 };
 } // namespace Forward
--- /dev/null
+++ b/Tests/LibForward/Fixtures.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "LibForward/ForwardContext.h"
+#include "LibForward/ReplicaEntry.h"
+#include "LibForward/TrafficConfiguration.h"
+
+#include <memory>
+#include <string>
+
+/// Small configurations and replicas that several tests use.
+namespace Fixtures
+{
+/// A gathering route over `shards` services named s0, s1, ... with a target latency of 120 ms and a timeout of 1200 ms.
+std::shared_ptr<const Forward::traffic_configuration> gatheringConfiguration(std::size_t shards, double minimumCoverage);
+
+/// A route to the one service s0, with a target latency of 400 ms and a timeout of 4000 ms.
+std::shared_ptr<const Forward::traffic_configuration> singleConfiguration(Forward::repeat_policy repeat);
+
+/// A context in zone a of three zones, each in a region of its own, without repeats limits that a test does not set.
+Forward::forward_context makeContext();
+
+Forward::replica_entry replicaEntry(const std::string &id, const std::string &service, const std::string &zone);
+} // namespace Fixtures
--- /dev/null
+++ b/Tests/LibForward/Simulation.cpp
@@ -0,0 +1,198 @@
+#include "Simulation.h"
+
+#include "Fixtures.h"
+
+#include "LibForward/AttemptFailure.h"
+#include "LibForward/LoadReport.h"
+#include "LibForward/MakePlan.h"
+#include "LibForward/PartAnswer.h"
+#include "LibForward/ReplicaEvents.h"
+#include "LibForward/ReplicaList.h"
+#include "LibForward/RequestEvents.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace Simulation
+{
+using namespace std::chrono_literals;
+
+static constexpr Core::duration nearWay = 200us;
+static constexpr Core::duration farWay = 8ms;
+static constexpr double workSpread = 0.35; ///< Standard deviation of the logarithm of the work time.
+/// The driver gives an attempt up so long after its request has ended, as the daemon does.
+static constexpr Core::duration loserGrace = 350ms;
+
+simulation::simulation(std::shared_ptr<const Forward::traffic_configuration> configuration, std::size_t shards,
+                       Core::duration meanWork, std::uint64_t seed)
+    : m_configuration(std::move(configuration))
+    , m_meanWork(meanWork)
+    , m_context(Fixtures::makeContext())
+    , m_random(seed)
+{
+    const char *names[zones] = {"a", "b", "c"};
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        const std::string service = "s" + std::to_string(shard);
+        for (std::size_t zone = 0; zone < zones; ++zone) {
+            const auto entry = Fixtures::replicaEntry(service + "-" + names[zone], service, names[zone]);
+            const auto key = Forward::applyEntry(m_context.book, entry, m_now);
+            simulated_replica &replica = m_replicas[key.value()];
+            replica.oneWay = zone == 0 ? nearWay : farWay;
+        }
+    }
+}
+
+simulated_replica &simulation::replica(std::size_t shard, std::size_t zone)
+{
+    return m_replicas.at({shard, zone});
+}
+
+void simulation::at(Core::time_point when, std::function<void()> work)
+{
+    m_events.push({when, m_order++, std::move(work)});
+}
+
+totals simulation::run(double requestsPerSecond, Core::duration length)
+{
+    m_totals = {};
+    const Core::time_point end = m_now + length;
+    std::exponential_distribution<double> gap(requestsPerSecond);
+    for (Core::time_point when = m_now; when < end; when += Core::fromSeconds(gap(m_random))) {
+        const std::size_t index = m_requests.size();
+        m_requests.push_back(nullptr);
+        at(when, [this, index]() { startRequest(index); });
+    }
+    while (!m_events.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.when;
+        next.work();
+    }
+    return m_totals;
+}
+
+void simulation::startRequest(std::size_t index)
+{
+    ++m_totals.requests;
+    m_requests[index] = std::make_unique<Forward::request_state>();
+    const Forward::route &matched = m_configuration->routes.front();
+    m_requests[index]->plan = Forward::makePlan(m_configuration, matched, matched.timeout, m_context, m_now);
+    carryOut(index, Forward::startRequest(*m_requests[index], m_context, m_now));
+}
+
+void simulation::carryOut(std::size_t index, const Forward::request_effects &effects)
+{
+    for (const Forward::send_attempt &send : effects.sends) {
+        ++m_totals.attempts;
+        const arrival arrived {index, send.attempt, m_now};
+        at(m_now + m_replicas.at(send.replica).oneWay,
+           [this, key = send.replica, arrived]() { arrive(key, arrived); });
+    }
+    if (effects.finished) {
+        finish(index, *effects.finished);
+    } else if (effects.wakeAt && !m_requests[index]->finished) {
+        at(std::max(*effects.wakeAt, m_now), [this, index]() {
+            carryOut(index, Forward::onTimer(*m_requests[index], m_context, m_now));
+        });
+    }
+}
+
+void simulation::arrive(const Forward::replica_key &key, const arrival &arrived)
+{
+    simulated_replica &replica = m_replicas.at(key);
+    if (isDark(replica)) {
+        // Nobody answers: the daemon gives the attempt up some time after its request has ended.
+        const Core::duration timeout = m_configuration->routes.front().targetLatency + loserGrace;
+        at(m_now + timeout, [this, key, arrived]() {
+            Forward::recordFailure(m_context.book, key, Forward::attempt_failure::Silent, arrived.sentAt, m_now);
+        });
+        return;
+    }
+    if (replica.running < replica.slots) {
+        ++replica.running;
+        work(key, arrived);
+    } else if (replica.queue.size() < replica.longestQueue) {
+        replica.queue.push_back(arrived);
+    } else {
+        at(m_now + replica.oneWay, [this, key, arrived]() { reply(key, arrived, false); });
+    }
+}
+
+Core::duration simulation::pauseLeft(const simulated_replica &replica) const
+{
+    if (replica.pauseEvery == Core::duration {}) {
+        return {};
+    }
+    const Core::duration phase = (m_now.time_since_epoch() + replica.pausePhase) % replica.pauseEvery;
+    return phase < replica.pauseFor ? replica.pauseFor - phase : Core::duration {};
+}
+
+bool simulation::isDark(const simulated_replica &replica) const
+{
+    return m_now >= replica.darkFrom && m_now < replica.darkUntil;
+}
+
+Core::duration simulation::drawWork(const simulated_replica &replica)
+{
+    std::normal_distribution<double> logarithm(-workSpread * workSpread / 2, workSpread);
+    return Core::fromSeconds(Core::toSeconds(m_meanWork) * replica.slowness * std::exp(logarithm(m_random)));
+}
+
+void simulation::work(const Forward::replica_key &key, const arrival &arrived)
+{
+    simulated_replica &replica = m_replicas.at(key);
+    const Core::duration took = pauseLeft(replica) + drawWork(replica);
+    at(m_now + took, [this, key, arrived]() {
+        simulated_replica &done = m_replicas.at(key);
+        if (!isDark(done)) {
+            at(m_now + done.oneWay, [this, key, arrived]() { reply(key, arrived, true); });
+        }
+        if (done.queue.empty()) {
+            --done.running;
+            return;
+        }
+        const arrival next = done.queue.front();
+        done.queue.pop_front();
+        work(key, next);
+    });
+}
+
+void simulation::reply(const Forward::replica_key &key, const arrival &arrived, bool isAnswer)
+{
+    const simulated_replica &replica = m_replicas.at(key);
+    const auto waiting = static_cast<unsigned>(replica.queue.size());
+    Forward::recordLoad(m_context.book, key, {replica.running, waiting, replica.slots, m_now});
+    Forward::request_state &request = *m_requests[arrived.request];
+    if (isAnswer) {
+        Forward::recordAnswer(m_context.book, key, arrived.sentAt, m_now);
+        if (!request.finished) {
+            carryOut(arrived.request, Forward::onAnswer(request, m_context, arrived.attempt, {"d", "r"}, m_now));
+        }
+        return;
+    }
+    const auto failure = Forward::attempt_failure::NotExecuted;
+    Forward::recordFailure(m_context.book, key, failure, arrived.sentAt, m_now);
+    if (!request.finished) {
+        carryOut(arrived.request, Forward::onFailure(request, m_context, arrived.attempt, failure, m_now));
+    }
+}
+
+void simulation::finish(std::size_t index, Forward::request_verdict verdict)
+{
+    const Forward::request_state &request = *m_requests[index];
+    if (verdict == Forward::request_verdict::NotRun) {
+        ++m_totals.refused;
+        return;
+    }
+    if (verdict != Forward::request_verdict::Answered) {
+        ++m_totals.failed;
+        return;
+    }
+    const double coverage = static_cast<double>(request.answeredParts) / static_cast<double>(request.parts.size());
+    const bool inTime = m_now - request.plan.receivedAt <= request.plan.matched->targetLatency;
+    constexpr double latePart = 0.1;
+    m_totals.worth += coverage * coverage * (inTime ? 1.0 : latePart);
+    ++(inTime ? m_totals.inTime : m_totals.late);
+}
+} // namespace Simulation
--- /dev/null
+++ b/Tests/LibForward/Simulation.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "SimulatedReplica.h"
+
+#include "LibForward/ForwardContext.h"
+#include "LibForward/RequestEffects.h"
+#include "LibForward/RequestState.h"
+#include "LibForward/TrafficConfiguration.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace Simulation
+{
+/// What a run of the simulation saw.
+struct totals {
+    std::size_t requests = 0;
+    std::size_t inTime = 0; ///< Answered within the target latency.
+    std::size_t late = 0;
+    std::size_t refused = 0; ///< Refused as not run.
+    std::size_t failed = 0;
+    std::size_t attempts = 0;
+    double worth = 0.0; ///< Sum of the squares of the coverage of answers in time, and a tenth of that for late ones.
+
+    [[nodiscard]] double meanWorth() const
+    {
+        return worth / static_cast<double>(requests);
+    }
+};
+
+/// Drives the request state machine against simulated replicas on virtual time: one daemon, `shards` shards with one
+/// replica in each of three zones.
+class simulation
+{
+public:
+    simulation(std::shared_ptr<const Forward::traffic_configuration> configuration, std::size_t shards,
+               Core::duration meanWork, std::uint64_t seed);
+
+    [[nodiscard]] simulated_replica &replica(std::size_t shard, std::size_t zone);
+    /// Lets requests arrive at random at a mean rate, and plays until all have ended.
+    [[nodiscard]] totals run(double requestsPerSecond, Core::duration length);
+
+    static constexpr std::size_t zones = 3;
+
+private:
+    struct event {
+        Core::time_point when;
+        std::uint64_t order = 0;
+        std::function<void()> work;
+        bool operator<(const event &other) const
+        {
+            return std::tie(other.when, other.order) < std::tie(when, order);
+        }
+    };
+
+    void at(Core::time_point when, std::function<void()> work);
+    void startRequest(std::size_t index);
+    void carryOut(std::size_t index, const Forward::request_effects &effects);
+    void arrive(const Forward::replica_key &key, const arrival &arrived);
+    void work(const Forward::replica_key &key, const arrival &arrived);
+    void reply(const Forward::replica_key &key, const arrival &arrived, bool isAnswer);
+    void finish(std::size_t index, Forward::request_verdict verdict);
+    [[nodiscard]] Core::duration pauseLeft(const simulated_replica &replica) const;
+    [[nodiscard]] bool isDark(const simulated_replica &replica) const;
+    [[nodiscard]] Core::duration drawWork(const simulated_replica &replica);
+
+    std::shared_ptr<const Forward::traffic_configuration> m_configuration;
+    Core::duration m_meanWork;
+    Forward::forward_context m_context;
+    std::map<Forward::replica_key, simulated_replica> m_replicas;
+    std::vector<std::unique_ptr<Forward::request_state>> m_requests;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_order = 0;
+    Core::time_point m_now {std::chrono::seconds(1000)};
+    Core::random_engine m_random;
+    totals m_totals;
+};
+} // namespace Simulation
--- /dev/null
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -0,0 +1,134 @@
+#include "Fixtures.h"
+
+#include "LibForward/AttemptFailure.h"
+#include "LibForward/ChoiceFilter.h"
+#include "LibForward/ChooseReplica.h"
+#include "LibForward/ReplicaEvents.h"
+#include "LibForward/ReplicaList.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+class ChooseReplica : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        for (const char *zone : {"a", "b", "c"}) {
+            Forward::applyEntry(m_context.book, Fixtures::replicaEntry(std::string("r-") + zone, "s0", zone), m_now);
+        }
+    }
+
+    std::string choose(const Forward::choice_filter &filter = {})
+    {
+        const auto chosen = Forward::chooseReplica(m_context.book, 0, filter, m_now, m_context.random);
+        return chosen ? m_context.book.services[0]->replicas[*chosen].entry.id : "none";
+    }
+
+    Forward::replica_key keyOf(std::size_t replica)
+    {
+        return {0, replica};
+    }
+
+    Forward::forward_context m_context = Fixtures::makeContext();
+    Core::time_point m_now {1000s};
+};
+} // namespace
+
+TEST_F(ChooseReplica, NearestIsTakenWhileAllAreIdle)
+{
+    EXPECT_EQ(choose(), "r-a");
+}
+
+TEST_F(ChooseReplica, LoadAtTheNearestMovesWorkAway)
+{
+    for (int sent = 0; sent < 8; ++sent) {
+        Forward::recordSent(m_context.book, keyOf(0), m_now);
+    }
+    EXPECT_NE(choose(), "r-a");
+}
+
+/// A replica that pauses keeps its requests; those that come meanwhile go elsewhere without spending the budget.
+TEST_F(ChooseReplica, ReplicaThatStandsStillIsPassedOver)
+{
+    Forward::recordSent(m_context.book, keyOf(0), m_now);
+    m_now += 60ms;
+    EXPECT_NE(choose(), "r-a");
+    Forward::recordAnswer(m_context.book, keyOf(0), m_now - 60ms, m_now);
+    m_now += 10s;
+    EXPECT_EQ(choose(), "r-a");
+}
+
+TEST_F(ChooseReplica, FailuresMoveWorkAwayForAWhile)
+{
+    Forward::recordSent(m_context.book, keyOf(0), m_now);
+    Forward::recordFailure(m_context.book, keyOf(0), Forward::attempt_failure::Broken, m_now, m_now);
+    EXPECT_NE(choose(), "r-a");
+    m_now += 30s;
+    EXPECT_EQ(choose(), "r-a");
+}
+
+TEST_F(ChooseReplica, DrainingGoneAndEvacuatedReplicasGetNothing)
+{
+    Forward::replica_entry draining = Fixtures::replicaEntry("r-a", "s0", "a");
+    draining.draining = true;
+    Forward::applyEntry(m_context.book, draining, m_now);
+    Forward::removeEntry(m_context.book, "r-b");
+    EXPECT_EQ(choose(), "r-c");
+    m_context.book.evacuatedZones.insert("c");
+    EXPECT_EQ(choose(), "none");
+}
+
+TEST_F(ChooseReplica, OnlyAllowedRegionsServe)
+{
+    const std::vector<std::string> regions {"rc"};
+    EXPECT_EQ(choose({.allowedRegions = regions}), "r-c");
+    const std::vector<std::string> elsewhere {"rz"};
+    EXPECT_EQ(choose({.allowedRegions = elsewhere}), "none");
+}
+
+/// A zone that returns is cold as a whole: all daemons together stay within what a cold replica bears in any second.
+TEST_F(ChooseReplica, ColdReplicaGetsThisDaemonsPartOfItsAllowance)
+{
+    Forward::removeEntry(m_context.book, "r-b");
+    Forward::removeEntry(m_context.book, "r-c");
+    Forward::replica_entry cold = Fixtures::replicaEntry("r-a", "s0", "a");
+    cold.coldFor = 5s;
+    Forward::applyEntry(m_context.book, cold, m_now);
+    Forward::service_policy policy;
+    policy.coldRequestsPerSecond = 20.0;
+    m_context.book.coldOvershoot = 1.5;
+    m_context.book.coldSlack = 6.0;
+    m_context.book.daemons = 3;
+    const double allowedInASecond = 20.0 * 1.5 + 6.0;
+    std::vector<Core::time_point> sent;
+    for (int step = 0; step < 400; ++step) {
+        m_now += 10ms;
+        if (choose({.policy = &policy}) == "r-a") {
+            Forward::recordColdRequest(Forward::replicaAt(m_context.book, keyOf(0)), m_now);
+            sent.push_back(m_now);
+        }
+    }
+    for (const Core::time_point from : sent) {
+        const auto inSecond
+            = std::count_if(sent.begin(), sent.end(),
+                            [&](Core::time_point time) { return time >= from && time < from + 1s; });
+        EXPECT_LE(static_cast<double>(inSecond) * 3, allowedInASecond);
+    }
+    EXPECT_GT(sent.size(), 8U);
+}
+
+TEST_F(ChooseReplica, NewStartUnderTheSameIdForgetsTheOldOne)
+{
+    Forward::recordSent(m_context.book, keyOf(0), m_now);
+    Forward::recordFailure(m_context.book, keyOf(0), Forward::attempt_failure::Broken, m_now, m_now);
+    Forward::replica_entry again = Fixtures::replicaEntry("r-a", "s0", "a");
+    EXPECT_FALSE(Forward::applyEntry(m_context.book, again, m_now).has_value());
+    again.startedAt = 2;
+    EXPECT_TRUE(Forward::applyEntry(m_context.book, again, m_now).has_value());
+    EXPECT_EQ(choose(), "r-a");
+    EXPECT_EQ(Forward::registeredIds(m_context.book).size(), 3U);
+}
--- /dev/null
+++ b/Tests/LibForward/TestHeavyLoad.cpp
@@ -0,0 +1,101 @@
+#include "Fixtures.h"
+#include "Simulation.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Simulation::simulation;
+
+/// Each test names the pattern of load or trouble that it plays on virtual time. Bounds are the route's target latency
+/// and the budget of repeats; the parts in time are what the users call a day served within its target.
+namespace
+{
+constexpr std::size_t shards = 10;
+constexpr Core::duration meanWork = 11ms;
+constexpr double calmRate = 30.0; ///< Requests a second: a third of the near replicas' slots.
+constexpr Core::duration length = 30s;
+constexpr double wantedInTime = 0.95;
+constexpr double repeatRatio = 0.2;
+constexpr double repeatSlack = 20.0;
+
+simulation makeSimulation(double minimumCoverage)
+{
+    return {Fixtures::gatheringConfiguration(shards, minimumCoverage), shards, meanWork, 17};
+}
+
+void letAllPause(simulation &played)
+{
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
+            Simulation::simulated_replica &replica = played.replica(shard, zone);
+            replica.pauseEvery = 3600ms;
+            replica.pauseFor = 150ms;
+            replica.pausePhase = std::chrono::milliseconds(337 * (shard * simulation::zones + zone));
+        }
+    }
+}
+
+double extraPart(const Simulation::totals &seen)
+{
+    const double firsts = static_cast<double>(seen.requests) * shards;
+    return (static_cast<double>(seen.attempts) - firsts) / firsts;
+}
+
+double inTimePart(const Simulation::totals &seen)
+{
+    return static_cast<double>(seen.inTime) / static_cast<double>(seen.requests);
+}
+} // namespace
+
+/// Pattern: every replica pauses 150 ms each 3.6 s, so a query over ten shards meets a pause in a third of cases.
+TEST(HeavyLoad, PausesAreHiddenByHedges)
+{
+    simulation played = makeSimulation(0.89);
+    letAllPause(played);
+    const Simulation::totals seen = played.run(calmRate, length);
+    EXPECT_GE(inTimePart(seen), wantedInTime);
+    EXPECT_GE(seen.meanWorth(), 0.93);
+    EXPECT_LE(extraPart(seen), repeatRatio);
+}
+
+/// Pattern: all replicas of one shard are dark for a while. Whole queries are impossible, partial ones in time are not.
+TEST(HeavyLoad, DarkShardCostsItsPartOnly)
+{
+    simulation played = makeSimulation(0.89);
+    for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
+        played.replica(3, zone).darkFrom = Core::time_point {1005s};
+        played.replica(3, zone).darkUntil = Core::time_point {1015s};
+    }
+    const Simulation::totals seen = played.run(calmRate, length);
+    EXPECT_GE(inTimePart(seen), wantedInTime);
+    EXPECT_LE(extraPart(seen), repeatRatio);
+}
+
+/// Pattern: replicas of many shards turn nine times as slow.
+TEST(HeavyLoad, SlowReplicasLoseTheirWorkToOthers)
+{
+    simulation played = makeSimulation(0.89);
+    letAllPause(played);
+    for (const std::size_t shard : {1U, 4U, 7U}) {
+        played.replica(shard, 0).slowness = 9.0;
+    }
+    const Simulation::totals seen = played.run(calmRate, length);
+    EXPECT_GE(inTimePart(seen), wantedInTime);
+    EXPECT_LE(extraPart(seen), repeatRatio);
+}
+
+/// Pattern: a general slow-down. Hedges must not turn it into a storm.
+TEST(HeavyLoad, GeneralSlowDownMakesNoStormOfRepeats)
+{
+    simulation played = makeSimulation(0.89);
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
+            played.replica(shard, zone).slowness = 5.0;
+        }
+    }
+    const Simulation::totals seen = played.run(calmRate, length);
+    const double firsts = static_cast<double>(seen.requests) * shards;
+    // The slack is free in each window of 10 s, for each shard's service.
+    const double allowed = repeatRatio * firsts + repeatSlack * shards * 4;
+    EXPECT_LE(static_cast<double>(seen.attempts) - firsts, allowed);
+}
--- /dev/null
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -0,0 +1,210 @@
+#include "Fixtures.h"
+
+#include "LibForward/AttemptFailure.h"
+#include "LibForward/MakePlan.h"
+#include "LibForward/PartAnswer.h"
+#include "LibForward/ReplicaEvents.h"
+#include "LibForward/ReplicaList.h"
+#include "LibForward/RequestEvents.h"
+#include "LibForward/RequestState.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Forward::attempt_failure;
+using Forward::request_verdict;
+
+namespace
+{
+class RequestEvents : public testing::Test
+{
+protected:
+    void addReplicas(std::size_t services)
+    {
+        for (std::size_t index = 0; index < services; ++index) {
+            const std::string service = "s" + std::to_string(index);
+            for (const char *zone : {"a", "b", "c"}) {
+                const std::string id = service + "-" + zone;
+                Forward::applyEntry(m_context.book, Fixtures::replicaEntry(id, service, zone), m_now);
+            }
+        }
+    }
+
+    Forward::request_effects start(std::shared_ptr<const Forward::traffic_configuration> configuration,
+                                   Core::duration callerWaits)
+    {
+        const Forward::route &matched = configuration->routes.front();
+        m_request.plan = Forward::makePlan(std::move(configuration), matched, callerWaits, m_context, m_now);
+        return Forward::startRequest(m_request, m_context, m_now);
+    }
+
+    Forward::request_effects answer(std::uint32_t attempt)
+    {
+        return Forward::onAnswer(m_request, m_context, attempt, {"digest", "records"}, m_now);
+    }
+
+    Forward::request_effects fail(std::uint32_t attempt, attempt_failure failure)
+    {
+        return Forward::onFailure(m_request, m_context, attempt, failure, m_now);
+    }
+
+    Forward::forward_context m_context = Fixtures::makeContext();
+    Forward::request_state m_request;
+    Core::time_point m_now {1000s};
+};
+} // namespace
+
+TEST_F(RequestEvents, GatherAsksEachShardOnceAndFinishesWithTheLast)
+{
+    addReplicas(3);
+    const auto started = start(Fixtures::gatheringConfiguration(3, 0.6), 1200ms);
+    ASSERT_EQ(started.sends.size(), 3U);
+    m_now += 5ms;
+    EXPECT_FALSE(answer(started.sends[0].attempt).finished);
+    EXPECT_FALSE(answer(started.sends[1].attempt).finished);
+    EXPECT_EQ(answer(started.sends[2].attempt).finished, request_verdict::Answered);
+    EXPECT_EQ(m_request.answeredParts, 3U);
+}
+
+TEST_F(RequestEvents, LateShardIsHedgedElsewhereAndTheFirstAnswerCounts)
+{
+    addReplicas(3);
+    const auto started = start(Fixtures::gatheringConfiguration(3, 1.0), 1200ms);
+    answer(started.sends[0].attempt);
+    answer(started.sends[1].attempt);
+    ASSERT_TRUE(started.wakeAt);
+    m_now = *started.wakeAt;
+    const auto hedged = Forward::onTimer(m_request, m_context, m_now);
+    ASSERT_EQ(hedged.sends.size(), 1U);
+    EXPECT_EQ(hedged.sends[0].part, 2U);
+    EXPECT_NE(hedged.sends[0].replica, started.sends[2].replica);
+    const auto finished = answer(hedged.sends[0].attempt);
+    EXPECT_EQ(finished.finished, request_verdict::Answered);
+    EXPECT_EQ(finished.detached, std::vector<std::uint32_t> {started.sends[2].attempt});
+    EXPECT_FALSE(answer(started.sends[2].attempt).finished);
+}
+
+/// Pattern: a shard whose replicas all hang. The answer without it leaves within the target latency.
+TEST_F(RequestEvents, AnswerLeavesInTimeWithoutAShardThatHangs)
+{
+    addReplicas(10);
+    const auto started = start(Fixtures::gatheringConfiguration(10, 0.89), 1200ms);
+    for (std::size_t index = 0; index + 1 < started.sends.size(); ++index) {
+        answer(started.sends[index].attempt);
+    }
+    Forward::request_effects effects = started;
+    while (!effects.finished) {
+        ASSERT_TRUE(effects.wakeAt);
+        m_now = *effects.wakeAt;
+        effects = Forward::onTimer(m_request, m_context, m_now);
+    }
+    EXPECT_EQ(effects.finished, request_verdict::Answered);
+    EXPECT_LT(m_now - m_request.plan.receivedAt, 120ms);
+}
+
+TEST_F(RequestEvents, TooFewShardsAreWaitedForBeyondTheTarget)
+{
+    addReplicas(10);
+    const auto started = start(Fixtures::gatheringConfiguration(10, 0.89), 1200ms);
+    for (std::size_t index = 0; index < 8; ++index) {
+        answer(started.sends[index].attempt);
+    }
+    m_now += 200ms;
+    EXPECT_FALSE(Forward::onTimer(m_request, m_context, m_now).finished);
+    EXPECT_EQ(answer(started.sends[8].attempt).finished, request_verdict::Answered);
+}
+
+TEST_F(RequestEvents, GatherEndsAtOnceWhenTheCoverageIsOutOfReach)
+{
+    addReplicas(2);
+    const auto started = start(Fixtures::gatheringConfiguration(2, 1.0), 1200ms);
+    const auto retried = fail(started.sends[0].attempt, attempt_failure::Broken);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    EXPECT_EQ(fail(retried.sends[0].attempt, attempt_failure::Broken).finished, request_verdict::Failed);
+}
+
+TEST_F(RequestEvents, NothingRegisteredIsARefusalThatSaysNotRun)
+{
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    EXPECT_EQ(started.finished, request_verdict::NotRun);
+}
+
+TEST_F(RequestEvents, AtMostOnceIsNotSentAgainAfterABrokenConnection)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    const auto failed = fail(started.sends[0].attempt, attempt_failure::Broken);
+    EXPECT_TRUE(failed.sends.empty());
+    EXPECT_EQ(failed.finished, request_verdict::Failed);
+}
+
+TEST_F(RequestEvents, AtMostOnceIsNeverHedged)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    m_now += 3s;
+    EXPECT_TRUE(Forward::onTimer(m_request, m_context, m_now).sends.empty());
+    m_now = m_request.plan.giveUpAt;
+    EXPECT_EQ(Forward::onTimer(m_request, m_context, m_now).finished, request_verdict::TimedOut);
+    EXPECT_EQ(started.sends.size(), 1U);
+}
+
+TEST_F(RequestEvents, AtMostOnceGoesElsewhereWhereTheReplicaSaysItDidNotRun)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    const auto retried = fail(started.sends[0].attempt, attempt_failure::NotExecuted);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    EXPECT_NE(retried.sends[0].replica, started.sends[0].replica);
+    // Both replicas refused: the request certainly did not run.
+    EXPECT_EQ(fail(retried.sends[0].attempt, attempt_failure::NotExecuted).finished, request_verdict::NotRun);
+}
+
+TEST_F(RequestEvents, RefusalAfterAnAttemptThatMayHaveRunDoesNotSayNotRun)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::Idempotent), 4000ms);
+    const auto retried = fail(started.sends[0].attempt, attempt_failure::Broken);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    EXPECT_EQ(fail(retried.sends[0].attempt, attempt_failure::NotExecuted).finished, request_verdict::Failed);
+}
+
+TEST_F(RequestEvents, ReplicasOwnFailureIsPassedOnWhenNoOtherMayBeAsked)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    EXPECT_EQ(fail(started.sends[0].attempt, attempt_failure::Error).finished, request_verdict::ReplicaFailed);
+}
+
+TEST_F(RequestEvents, NoMoreReplicasAreAskedThanTheRouteAllows)
+{
+    addReplicas(1);
+    m_context.book.repeatLimits.slack = 1000.0;
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::Idempotent), 4000ms);
+    const auto retried = fail(started.sends[0].attempt, attempt_failure::Broken);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    const auto ended = fail(retried.sends[0].attempt, attempt_failure::Broken);
+    EXPECT_TRUE(ended.sends.empty());
+    EXPECT_TRUE(ended.finished);
+}
+
+TEST_F(RequestEvents, AnAttemptThatNeverLeftCostsNoneOfTheRoutesAttempts)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleConfiguration(Forward::repeat_policy::AtMostOnce), 4000ms);
+    const auto second = fail(started.sends[0].attempt, attempt_failure::NotSent);
+    ASSERT_EQ(second.sends.size(), 1U);
+    const auto third = fail(second.sends[0].attempt, attempt_failure::NotExecuted);
+    ASSERT_EQ(third.sends.size(), 1U);
+    EXPECT_EQ(answer(third.sends[0].attempt).finished, request_verdict::Answered);
+}
+
+TEST_F(RequestEvents, TheShorterOfCallersAndRoutesTimeHolds)
+{
+    addReplicas(1);
+    start(Fixtures::singleConfiguration(Forward::repeat_policy::Idempotent), 300ms);
+    EXPECT_LT(m_request.plan.giveUpAt - m_now, 300ms);
+    m_request = {};
+    start(Fixtures::singleConfiguration(Forward::repeat_policy::Idempotent), 1h);
+    EXPECT_LE(m_request.plan.giveUpAt - m_now, 4000ms);
+}
