--- a/Libraries/LibForward/ForwardContext.h
+++ b/Libraries/LibForward/ForwardContext.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/RandomEngine.h"
 #include "LibForward/LatencyHistogram.h"
+#include "LibForward/LoadLimit.h"
 #include "LibForward/ReplicaBook.h"
 
 #include <string>
@@ -13,6 +14,7 @@
 struct forward_context {
     replica_book book;
     std::unordered_map<std::string, latency_histogram> routeLatencies; ///< Of first attempts, by route.
+    std::unordered_map<std::size_t, load_limit> loadLimits; ///< Of gathers, by the first shard's place in the book.
     Core::random_engine random;
 };
 } // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/LoadLimit.cpp
@@ -0,0 +1,61 @@
+#include "LibForward/LoadLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Forward
+{
+using namespace std::chrono_literals;
+
+static constexpr Core::duration windowLength = 150ms; ///< Somewhat more than a target latency: one round of answers.
+static constexpr std::size_t fewestFinished = 8; ///< Fewer answers say too little.
+static constexpr double wantedInTime = 0.85; ///< Below this part, the shards hold more work than they can do in time.
+static constexpr double shrinking = 0.85;
+static constexpr double growing = 1.1;
+/// Below it, answers are late for other reasons than this daemon's load.
+static constexpr double lowestLimit = 6.0;
+/// Part of the limit that each step of priority may use: what is less urgent is sent away first.
+static constexpr double priorityPart = 0.93;
+
+bool mayStart(const load_limit &load, int priority)
+{
+    const double part = std::pow(priorityPart, std::max(priority, 0));
+    return static_cast<double>(load.running) < load.limit * part;
+}
+
+void recordStart(load_limit &load)
+{
+    ++load.running;
+    load.mostRunning = std::max(load.mostRunning, load.running);
+}
+
+void recordLeft(load_limit &load)
+{
+    --load.running;
+}
+
+static void closeWindow(load_limit &load, Core::time_point now)
+{
+    const double part = static_cast<double>(load.inTime) / static_cast<double>(load.finished);
+    const auto most = static_cast<double>(load.mostRunning);
+    if (part < wantedInTime) {
+        load.limit = std::max(std::min(load.limit, most) * shrinking, lowestLimit);
+    } else if (most >= load.limit * priorityPart * priorityPart) {
+        load.limit *= growing;
+    }
+    load.windowStart = now;
+    load.mostRunning = load.running;
+    load.finished = 0;
+    load.inTime = 0;
+}
+
+void recordEnd(load_limit &load, bool wasInTime, Core::time_point now)
+{
+    --load.running;
+    ++load.finished;
+    load.inTime += wasInTime ? 1 : 0;
+    if (load.finished >= fewestFinished && now - load.windowStart >= windowLength) {
+        closeWindow(load, now);
+    }
+}
+} // namespace Forward
--- a/Libraries/LibForward/MakePlan.cpp
+++ b/Libraries/LibForward/MakePlan.cpp
@@ -36,6 +36,8 @@
     plan.receivedAt = now;
     const Core::duration waits = std::min(callerWaits, matched.timeout);
     plan.giveUpAt = now + std::max<Core::duration>(waits - giveUpMargin, waits / 2);
+    // Callers start with the route's timeout; one that states less has been here before.
+    plan.callerWaited = std::max<Core::duration>(matched.timeout - waits, {});
     const auto margin = std::min<Core::duration>(
         answerMargin, std::chrono::duration_cast<Core::duration>(matched.targetLatency * mostMarginPart));
     plan.answerBy = now + std::max<Core::duration>(matched.targetLatency - margin, 0ms);
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -17,6 +17,8 @@
 {
 /// A replica that cannot be reached costs no attempt, but a request does not try for ever.
 static constexpr unsigned mostUnsent = 3;
+/// An answer that leaves so long after it was due hardly reaches the caller within the target latency.
+static constexpr Core::duration lateTolerance = std::chrono::milliseconds(5);
 
 static const service_policy *policyOf(const request_plan &plan, const service_state &service)
 {
@@ -57,9 +59,19 @@
     --request.openParts;
 }
 
-static void finish(request_state &request, request_verdict verdict, request_effects &effects)
+static load_limit &limitOf(const request_state &request, forward_context &context)
+{
+    return context.loadLimits[request.plan.services.front()];
+}
+
+static void finish(request_state &request, request_verdict verdict, forward_context &context, request_effects &effects,
+                   Core::time_point now)
 {
     request.finished = true;
+    if (request.counted) {
+        const bool inTime = verdict == request_verdict::Answered && now <= request.plan.answerBy + lateTolerance;
+        recordEnd(limitOf(request, context), inTime, now);
+    }
     effects.finished = verdict;
     effects.wakeAt.reset();
     for (part_state &part : request.parts) {
@@ -85,25 +97,25 @@
 }
 
 /// Ends the request if nothing is left to wait for.
-static void settle(request_state &request, request_effects &effects, Core::time_point now)
+static void settle(request_state &request, forward_context &context, request_effects &effects, Core::time_point now)
 {
     if (request.finished) {
         return;
     }
     const bool enough = request.answeredParts >= request.plan.neededParts;
     if (enough && (request.openParts == 0 || now >= request.plan.answerBy)) {
-        finish(request, request_verdict::Answered, effects);
+        finish(request, request_verdict::Answered, context, effects, now);
         return;
     }
     if (request.answeredParts + request.openParts < request.plan.neededParts) {
         const bool running = std::any_of(request.parts.begin(), request.parts.end(),
                                          [](const part_state &part) { return !part.running.empty(); });
         const bool ran = request.mayHaveRun || running || request.answeredParts > 0;
-        finish(request, ran ? request_verdict::Failed : request_verdict::NotRun, effects);
+        finish(request, ran ? request_verdict::Failed : request_verdict::NotRun, context, effects, now);
         return;
     }
     if (now >= request.plan.giveUpAt) {
-        finish(request, request_verdict::TimedOut, effects);
+        finish(request, request_verdict::TimedOut, context, effects, now);
         return;
     }
     scheduleWake(request, effects, now);
@@ -125,6 +137,18 @@
     request_effects effects;
     request.parts.resize(request.plan.services.size());
     request.openParts = request.parts.size();
+    const route &matched = *request.plan.matched;
+    if (matched.gathers()) {
+        load_limit &limit = limitOf(request, context);
+        if (!mayStart(limit, matched.priority)) {
+            request.openParts = 0;
+            request.parts.clear();
+            finish(request, request_verdict::NotRun, context, effects, now);
+            return effects;
+        }
+        request.counted = true;
+        recordStart(limit);
+    }
     for (std::size_t index = 0; index < request.parts.size(); ++index) {
         part_state &part = request.parts[index];
         const std::size_t service = request.plan.services[index];
@@ -137,7 +161,7 @@
         send(request, index, *replica, context, effects, now);
         planHedge(request, part, context, now);
     }
-    settle(request, effects, now);
+    settle(request, context, effects, now);
     return effects;
 }
 
@@ -175,7 +199,7 @@
     part->answer = std::move(answer);
     ++request.answeredParts;
     closePart(request, *part, effects);
-    settle(request, effects, now);
+    settle(request, context, effects, now);
     return effects;
 }
 
@@ -217,10 +241,10 @@
         const bool single = !request.plan.matched->gathers();
         closePart(request, *part, effects);
         if (single && failure == attempt_failure::Error) {
-            finish(request, request_verdict::ReplicaFailed, effects);
+            finish(request, request_verdict::ReplicaFailed, context, effects, now);
         }
     }
-    settle(request, effects, now);
+    settle(request, context, effects, now);
     return effects;
 }
 
@@ -244,7 +268,15 @@
             send(request, index, *replica, context, effects, now);
         }
     }
-    settle(request, effects, now);
+    settle(request, context, effects, now);
     return effects;
 }
+
+void abandonRequest(request_state &request, forward_context &context)
+{
+    request.finished = true;
+    if (request.counted) {
+        recordLeft(limitOf(request, context));
+    }
+}
 } // namespace Forward
--- a/Libraries/LibForward/RequestEvents.h
+++ b/Libraries/LibForward/RequestEvents.h
@@ -26,4 +26,7 @@
 
 /// Sends hedges that are due, and ends the request when its time has come.
 [[nodiscard]] request_effects onTimer(request_state &request, forward_context &context, Core::time_point now);
+
+/// Ends a request whose caller has left. Its attempts are the driver's to cancel.
+void abandonRequest(request_state &request, forward_context &context);
 } // namespace Forward
--- a/Libraries/LibForward/RequestPlan.h
+++ b/Libraries/LibForward/RequestPlan.h
@@ -18,6 +18,7 @@
     std::vector<std::size_t> services; ///< Places in the replica book: one a shard, or the one service.
     std::size_t neededParts = 1; ///< Parts without which there is no answer.
     Core::time_point receivedAt;
+    Core::duration callerWaited {}; ///< How long the caller has waited before, at earlier attempts.
     Core::time_point answerBy; ///< From then on an answer with enough parts is not held for the missing ones.
     Core::time_point giveUpAt; ///< The caller waits no longer.
 };
--- a/Libraries/LibForward/RequestState.h
+++ b/Libraries/LibForward/RequestState.h
@@ -18,6 +18,7 @@
     unsigned hedges = 0;
     unsigned retries = 0;
     bool mayHaveRun = false; ///< Some attempt ended without proof that it did not run, or still runs.
+    bool counted = false; ///< The load limit counts it as running.
     bool finished = false;
 };
 } // namespace Forward
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -203,7 +203,7 @@
         return;
     }
     ++m_environment.counters.abandoned;
-    m_request.finished = true;
+    Forward::abandonRequest(m_request, m_environment.forward);
     m_reply = nullptr;
     if (m_wake) {
         m_environment.timers.cancel(*std::exchange(m_wake, std::nullopt));
--- a/Tests/LibForward/Simulation.cpp
+++ b/Tests/LibForward/Simulation.cpp
@@ -9,6 +9,7 @@
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestEvents.h"
+#include "LibForward/RetryAfter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -61,7 +62,10 @@
     for (Core::time_point when = m_now; when < end; when += Core::fromSeconds(gap(m_random))) {
         const std::size_t index = m_requests.size();
         m_requests.push_back(nullptr);
-        at(when, [this, index]() { startRequest(index); });
+        at(when, [this, index]() {
+            ++m_totals.requests;
+            startRequest(index, {});
+        });
     }
     while (!m_events.empty()) {
         const event next = m_events.top();
@@ -72,12 +76,17 @@
     return m_totals;
 }
 
-void simulation::startRequest(std::size_t index)
+void simulation::letCallersReturn()
+{
+    m_callersReturn = true;
+}
+
+void simulation::startRequest(std::size_t index, Core::duration waited)
 {
-    ++m_totals.requests;
     m_requests[index] = std::make_unique<Forward::request_state>();
     const Forward::route &matched = m_configuration->routes.front();
-    m_requests[index]->plan = Forward::makePlan(m_configuration, matched, matched.timeout, m_context, m_now);
+    const Core::duration left = matched.timeout - waited;
+    m_requests[index]->plan = Forward::makePlan(m_configuration, matched, left, m_context, m_now);
     carryOut(index, Forward::startRequest(*m_requests[index], m_context, m_now));
 }
 
@@ -181,8 +190,14 @@
 void simulation::finish(std::size_t index, Forward::request_verdict verdict)
 {
     const Forward::request_state &request = *m_requests[index];
+    const bool hasReturned = request.plan.callerWaited > Core::duration {};
     if (verdict == Forward::request_verdict::NotRun) {
-        ++m_totals.refused;
+        if (!m_callersReturn || hasReturned) {
+            ++m_totals.refused;
+            return;
+        }
+        const Core::duration wait = Forward::drawRetryAfter(m_context.random);
+        at(m_now + wait, [this, index, wait]() { startRequest(index, wait); });
         return;
     }
     if (verdict != Forward::request_verdict::Answered) {
@@ -192,7 +207,8 @@
     const double coverage = static_cast<double>(request.answeredParts) / static_cast<double>(request.parts.size());
     const bool inTime = m_now - request.plan.receivedAt <= request.plan.matched->targetLatency;
     constexpr double latePart = 0.1;
-    m_totals.worth += coverage * coverage * (inTime ? 1.0 : latePart);
+    const double worth = !inTime ? latePart : hasReturned ? (1.0 + latePart) / 2 : 1.0;
+    m_totals.worth += coverage * coverage * worth;
     ++(inTime ? m_totals.inTime : m_totals.late);
 }
 } // namespace Simulation
--- a/Tests/LibForward/Simulation.h
+++ b/Tests/LibForward/Simulation.h
@@ -21,10 +21,12 @@
     std::size_t requests = 0;
     std::size_t inTime = 0; ///< Answered within the target latency.
     std::size_t late = 0;
-    std::size_t refused = 0; ///< Refused as not run.
+    std::size_t refused = 0; ///< Refused as not run, also when they came again.
     std::size_t failed = 0;
     std::size_t attempts = 0;
-    double worth = 0.0; ///< Sum of the squares of the coverage of answers in time, and a tenth of that for late ones.
+    /// Sum of the squares of the coverage of answers in time, a tenth of that for late ones, and the mean of the two for
+    /// those in time after they were refused once.
+    double worth = 0.0;
 
     [[nodiscard]] double meanWorth() const
     {
@@ -41,6 +43,8 @@
                Core::duration meanWork, std::uint64_t seed);
 
     [[nodiscard]] simulated_replica &replica(std::size_t shard, std::size_t zone);
+    /// Whether a refused caller comes again, once, after the daemon's Retry-After.
+    void letCallersReturn();
     /// Lets requests arrive at random at a mean rate, and plays until all have ended.
     [[nodiscard]] totals run(double requestsPerSecond, Core::duration length);
 
@@ -58,7 +62,7 @@
     };
 
     void at(Core::time_point when, std::function<void()> work);
-    void startRequest(std::size_t index);
+    void startRequest(std::size_t index, Core::duration waited);
     void carryOut(std::size_t index, const Forward::request_effects &effects);
     void arrive(const Forward::replica_key &key, const arrival &arrived);
     void work(const Forward::replica_key &key, const arrival &arrived);
@@ -78,5 +82,6 @@
     Core::time_point m_now {std::chrono::seconds(1000)};
     Core::random_engine m_random;
     totals m_totals;
+    bool m_callersReturn = false;
 };
 } // namespace Simulation
--- a/Tests/LibForward/TestHeavyLoad.cpp
+++ b/Tests/LibForward/TestHeavyLoad.cpp
@@ -99,3 +99,19 @@
     const double allowed = repeatRatio * firsts + repeatSlack * shards * 4;
     EXPECT_LE(static_cast<double>(seen.attempts) - firsts, allowed);
 }
+
+/// Pattern: a crowd asks for more than all replicas can work off. Some callers are sent away at once and most of those who
+/// are let in get their answer in time; without refusals nearly all would come late.
+TEST(HeavyLoad, CrowdIsPartlySentAwayAndTheRestServedInTime)
+{
+    simulation played = makeSimulation(0.89);
+    played.letCallersReturn();
+    const Simulation::totals calm = played.run(calmRate, 5s);
+    EXPECT_EQ(calm.refused, 0U);
+    const double capacity = simulation::zones * 2 / Core::toSeconds(meanWork);
+    const Simulation::totals crowd = played.run(capacity * 1.3, 6s);
+    EXPECT_GE(crowd.meanWorth(), 0.5);
+    EXPECT_LE(static_cast<double>(crowd.refused), 0.6 * static_cast<double>(crowd.requests));
+    const Simulation::totals after = played.run(calmRate, 10s);
+    EXPECT_GE(inTimePart(after), wantedInTime);
+}
