--- a/Libraries/LibForward/LoadLimit.cpp
+++ b/Libraries/LibForward/LoadLimit.cpp
@@ -11,9 +11,11 @@
 static constexpr std::size_t fewestFinished = 8; ///< Fewer answers say too little.
 static constexpr double wantedInTime = 0.85; ///< Below this part, the shards hold more work than they can do in time.
 static constexpr double shrinking = 0.85;
-static constexpr double growing = 1.1;
+static constexpr double growing = 1.05;
 /// Below it, answers are late for other reasons than this daemon's load.
 static constexpr double lowestLimit = 6.0;
+/// Part of the limit beyond which no second attempts are sent.
+static constexpr double hedgePart = 0.7;
 /// Part of the limit that each step of priority may use: what is less urgent is sent away first.
 static constexpr double priorityPart = 0.93;
 
@@ -23,6 +25,11 @@
     return static_cast<double>(load.running) < load.limit * part;
 }
 
+bool mayHedge(const load_limit &load)
+{
+    return static_cast<double>(load.running) < load.limit * hedgePart;
+}
+
 void recordStart(load_limit &load)
 {
     ++load.running;
--- a/Libraries/LibForward/LoadLimit.h
+++ b/Libraries/LibForward/LoadLimit.h
@@ -21,6 +21,9 @@
 /// Whether one more request may start. `priority` 0 is the most urgent; the others leave it some room.
 [[nodiscard]] bool mayStart(const load_limit &load, int priority);
 
+/// Whether there is room for second attempts, which take slots from other requests' first ones.
+[[nodiscard]] bool mayHedge(const load_limit &load);
+
 void recordStart(load_limit &load);
 
 /// Records the end of a request. `wasInTime` is false for one that came late or not at all.
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -262,7 +262,8 @@
         part.hedgeAt.reset();
         const std::size_t service = request.plan.services[index];
         const std::optional<std::size_t> replica = chooseFor(request, part, context, service, now);
-        const bool useful = replica && !isAvoided(context.book.services[service]->replicas[*replica], now);
+        const bool hasRoom = !request.counted || mayHedge(limitOf(request, context));
+        const bool useful = hasRoom && replica && !isAvoided(context.book.services[service]->replicas[*replica], now);
         if (useful && takeRepeat(context.book.services[service]->repeats, context.book.repeatLimits, now)) {
             ++request.hedges;
             send(request, index, *replica, context, effects, now);
