--- a/Libraries/LibFront/HttpChannel.cpp
+++ b/Libraries/LibFront/HttpChannel.cpp
@@ -41,7 +41,9 @@
     });
     replica_exchange exchange;
     exchange.ticket = 1;
-    exchange.makeText = [text = std::move(text)](Core::time_point) { return text; };
+    exchange.makeText = [text = std::move(text)](Core::time_point) {
+        return text;
+    };
     exchange.onEnd = [this](exchange_end end) {
         finish(std::move(end));
     };
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -2,9 +2,10 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -20,7 +21,7 @@
 static constexpr int probeSeconds = 1; ///< Until the first keep-alive probe, and between two.
 static constexpr int lostProbes = 2;
 /// Without a stated idle time, a kept connection is taken as usable for so long.
-static constexpr Core::duration defaultIdleTime = 4s;
+static constexpr std::chrono::seconds defaultIdleTime = 4s;
 static constexpr double usedIdlePart = 0.6; ///< The replica's clock runs from its own last byte, and some are hasty.
 static constexpr Core::duration freshWithin = 400ms; ///< So soon after its last use a replica hardly closes.
 static constexpr std::uint32_t mostHeaderBytes = 64 * 1024; ///< Of an answer; more is a spoiled one.
@@ -190,20 +191,28 @@
     finish(std::move(end));
 }
 
-void replica_connection::learnIdleTime(const reply_message &reply)
+/// Reads the seconds from a Keep-Alive field such as "timeout=5, max=100".
+static std::optional<std::chrono::seconds> statedIdleTime(std::string_view field)
 {
-    const Core::time_point now = std::chrono::steady_clock::now();
-    Core::duration idleTime = defaultIdleTime;
-    for (const auto &parameter : http::param_list("x;" + std::string(reply[http::field::keep_alive]))) {
-        long seconds = 0;
-        const auto value = parameter.second;
-        const auto [end, failure] = std::from_chars(value.data(), value.data() + value.size(), seconds);
-        if (boost::beast::iequals(parameter.first, "timeout") && failure == std::errc()) {
-            idleTime = std::chrono::seconds(seconds);
-        }
+    constexpr std::string_view parameter = "timeout=";
+    const auto place =
+        std::search(field.begin(), field.end(), parameter.begin(), parameter.end(), [](char left, char right) {
+            return boost::beast::iequals({&left, 1}, {&right, 1});
+        });
+    if (place == field.end()) {
+        return std::nullopt;
     }
-    m_lastUsed = now;
-    m_usableUntil = now + std::chrono::duration_cast<Core::duration>(idleTime * usedIdlePart);
+    const std::string_view digits = field.substr(static_cast<std::size_t>(place - field.begin()) + parameter.size());
+    long seconds = 0;
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return failure == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+void replica_connection::learnIdleTime(const reply_message &reply)
+{
+    const Core::duration idleTime = statedIdleTime(reply[http::field::keep_alive]).value_or(defaultIdleTime);
+    m_lastUsed = std::chrono::steady_clock::now();
+    m_usableUntil = m_lastUsed + std::chrono::duration_cast<Core::duration>(idleTime * usedIdlePart);
 }
 
 void replica_connection::finish(exchange_end end)
--- /dev/null
+++ b/Tests/LibFront/RawPeer.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+
+/// One connection that sends the bytes that a test says and collects those that come.
+struct raw_connection : std::enable_shared_from_this<raw_connection> {
+    explicit raw_connection(boost::asio::ip::tcp::socket connected)
+        : socket(std::move(connected))
+    {
+    }
+
+    void read(std::function<void(raw_connection &)> onBytes)
+    {
+        socket.async_read_some(boost::asio::buffer(chunk),
+                               [self = shared_from_this(), onBytes = std::move(onBytes)](
+                                   const boost::system::error_code &error, std::size_t size) {
+                                   if (error) {
+                                       self->ended = true;
+                                       self->wasReset = error == boost::asio::error::connection_reset;
+                                       return;
+                                   }
+                                   self->received.append(self->chunk.data(), size);
+                                   onBytes(*self);
+                                   self->read(onBytes);
+                               });
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    }
+
+    /// Ends the connection in order.
+    void finish()
+    {
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    }
+
+    void reset()
+    {
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> chunk {};
+    std::string received;
+    bool ended = false;
+    bool wasReset = false;
+};
+
+/// Accepts connections on loopback and hands what they receive to a test's script.
+class raw_server
+{
+public:
+    using script = std::function<void(raw_connection &)>;
+
+    raw_server(boost::asio::io_context &loop, script onBytes)
+        : m_acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_script(std::move(onBytes))
+    {
+        accept();
+    }
+
+    [[nodiscard]] boost::asio::ip::tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    std::list<std::shared_ptr<raw_connection>> connections;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            connections.push_back(std::make_shared<raw_connection>(std::move(socket)));
+            connections.back()->read(m_script);
+            accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    script m_script;
+};
--- /dev/null
+++ b/Tests/LibFront/TestCallerConnection.cpp
@@ -0,0 +1,216 @@
+#include "LoopFixture.h"
+#include "RawPeer.h"
+
+#include "LibFront/HttpServer.h"
+
+using namespace std::chrono_literals;
+
+namespace
+{
+class CallerConnection : public loop_fixture
+{
+protected:
+    void SetUp() override
+    {
+        m_limits.headerBytes = 1024;
+        m_limits.bodyBytes = 100;
+        m_limits.headerTimeout = 300ms;
+        m_limits.idleTimeout = 600ms;
+        const auto handler = [this](Front::request_message &&request, const Front::reply_function &reply) {
+            m_seen.push_back(std::string(request.method_string()) + " " + std::string(request.target()) + " "
+                             + request.body());
+            if (request.target() == "/slow") {
+                m_slow = reply;
+                return Front::abandon_function([this]() { m_abandoned = true; });
+            }
+            Front::answer result;
+            result.status = 200;
+            result.body = "to " + std::string(request.target());
+            reply(std::move(result));
+            return Front::abandon_function();
+        };
+        // A port that was free a moment ago; the acceptor of the probe is closed by then.
+        boost::asio::ip::tcp::acceptor probe(m_loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        m_address = probe.local_endpoint();
+        probe.close();
+        m_server = std::make_unique<Front::http_server>(
+            m_loop, m_timers, "127.0.0.1:" + std::to_string(m_address.port()), handler, [this]() { return m_limits; });
+        m_caller = connect();
+    }
+
+    std::shared_ptr<raw_connection> connect()
+    {
+        boost::asio::ip::tcp::socket socket(m_loop);
+        socket.connect(m_address);
+        auto caller = std::make_shared<raw_connection>(std::move(socket));
+        caller->read([](raw_connection &) {});
+        return caller;
+    }
+
+    bool receives(const std::string &text)
+    {
+        return runUntil([&]() { return m_caller->received.find(text) != std::string::npos; });
+    }
+
+    bool ends()
+    {
+        return runUntil([&]() { return m_caller->ended; });
+    }
+
+    /// The status that bytes are answered with; the connection must end after it.
+    std::string refusalOf(const std::string &bytes)
+    {
+        m_caller->send(bytes);
+        EXPECT_TRUE(ends());
+        EXPECT_TRUE(m_seen.empty());
+        return m_caller->received.substr(9, 3);
+    }
+
+    Forward::caller_limits m_limits;
+    std::vector<std::string> m_seen;
+    Front::reply_function m_slow;
+    bool m_abandoned = false;
+    boost::asio::ip::tcp::endpoint m_address;
+    std::unique_ptr<Front::http_server> m_server;
+    std::shared_ptr<raw_connection> m_caller;
+};
+} // namespace
+
+TEST_F(CallerConnection, PipelinedRequestsAreAnsweredInOrder)
+{
+    m_caller->send(
+        "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this]() { return static_cast<bool>(m_slow); }));
+    runFor(50ms);
+    EXPECT_EQ(m_seen.size(), 1U);
+    Front::answer first;
+    first.status = 200;
+    first.body = "first";
+    m_slow(first);
+    ASSERT_TRUE(receives("to /3"));
+    EXPECT_LT(m_caller->received.find("first"), m_caller->received.find("to /2"));
+    EXPECT_LT(m_caller->received.find("to /2"), m_caller->received.find("to /3"));
+}
+
+TEST_F(CallerConnection, ChunkedBodyArrivesWhole)
+{
+    m_caller->send("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    runFor(30ms);
+    m_caller->send("2\r\nde\r\n0\r\n\r\n");
+    ASSERT_TRUE(receives("to /p"));
+    EXPECT_EQ(m_seen.at(0), "POST /p abcde");
+}
+
+TEST_F(CallerConnection, ExpectedInterimAnswerIsSent)
+{
+    m_caller->send("POST /p HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    ASSERT_TRUE(receives("100 Continue"));
+    m_caller->send("ab");
+    ASSERT_TRUE(receives("to /p"));
+}
+
+TEST_F(CallerConnection, ConflictingLengthsAreRefused)
+{
+    EXPECT_EQ(refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc"), "400");
+}
+
+TEST_F(CallerConnection, DoubledLengthIsRefused)
+{
+    EXPECT_EQ(refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab"), "400");
+}
+
+TEST_F(CallerConnection, LengthBesideChunksIsRefused)
+{
+    EXPECT_EQ(
+        refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        "400");
+    m_caller = connect();
+    EXPECT_EQ(
+        refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n"),
+        "400");
+}
+
+TEST_F(CallerConnection, UnknownEncodingIsRefused)
+{
+    EXPECT_EQ(refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), "400");
+}
+
+TEST_F(CallerConnection, BadChunkSizeIsRefused)
+{
+    EXPECT_EQ(refusalOf("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"), "400");
+}
+
+TEST_F(CallerConnection, BrokenRequestLineIsRefused)
+{
+    EXPECT_EQ(refusalOf("GET\x01/ HTTP/1.1\r\n\r\n"), "400");
+}
+
+TEST_F(CallerConnection, MissingHostIsRefused)
+{
+    EXPECT_EQ(refusalOf("GET / HTTP/1.1\r\n\r\n"), "400");
+}
+
+TEST_F(CallerConnection, LongHeaderIsRefused)
+{
+    EXPECT_EQ(refusalOf("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n"), "431");
+}
+
+TEST_F(CallerConnection, LongBodyIsRefused)
+{
+    EXPECT_EQ(refusalOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"), "413");
+}
+
+TEST_F(CallerConnection, HeaderThatDoesNotComeIsRefusedAsNotRun)
+{
+    EXPECT_EQ(refusalOf("GET / HTTP/1.1\r\nHo"), "408");
+}
+
+TEST_F(CallerConnection, IdleConnectionIsClosedAfterItsTimeOnly)
+{
+    m_caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(receives("to /1"));
+    runFor(400ms);
+    EXPECT_FALSE(m_caller->ended);
+    m_caller->send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(receives("to /2"));
+    EXPECT_TRUE(ends());
+}
+
+TEST_F(CallerConnection, CallerThatLeavesIsNoticed)
+{
+    m_caller->send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this]() { return static_cast<bool>(m_slow); }));
+    m_caller->socket.close();
+    EXPECT_TRUE(runUntil([this]() { return m_abandoned; }));
+}
+
+TEST_F(CallerConnection, CloseOfTheRequestIsHonoured)
+{
+    m_caller->send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(ends());
+    EXPECT_NE(m_caller->received.find("Connection: close"), std::string::npos);
+    EXPECT_NE(m_caller->received.find("to /1"), std::string::npos);
+}
+
+TEST_F(CallerConnection, HeadGetsTheLengthWithoutTheBody)
+{
+    m_caller->send("HEAD /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(receives("to /2"));
+    EXPECT_EQ(m_caller->received.find("to /1"), std::string::npos);
+}
+
+/// A planned stop: what runs is finished, and the answer asks the caller to connect elsewhere.
+TEST_F(CallerConnection, StopFinishesWhatRuns)
+{
+    m_caller->send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this]() { return static_cast<bool>(m_slow); }));
+    m_server->startStopping();
+    m_server->stopAccepting();
+    Front::answer last;
+    last.status = 200;
+    last.body = "last";
+    m_slow(last);
+    EXPECT_TRUE(receives("last"));
+    EXPECT_TRUE(ends());
+    EXPECT_NE(m_caller->received.find("Connection: close"), std::string::npos);
+}
