--- /dev/null
+++ b/Tests/LibExchange/TestFeedRole.cpp
@@ -0,0 +1,113 @@
+#include "LibExchange/FeedRole.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Exchange::decideFeed;
+using Exchange::feed_role;
+using Exchange::feed_view;
+
+namespace
+{
+feed_view follower()
+{
+    feed_view view;
+    view.hasSources = true;
+    view.known = 10;
+    view.newest = 10;
+    return view;
+}
+
+constexpr Core::time_point start {1000s};
+} // namespace
+
+TEST(FeedRole, WatchersAskTheStoreAndOthersFollow)
+{
+    feed_role role;
+    feed_view view = follower();
+    EXPECT_FALSE(decideFeed(role, view, start).direct);
+    view.watchesStore = true;
+    EXPECT_TRUE(decideFeed(role, view, start).direct);
+}
+
+TEST(FeedRole, DaemonWithoutSourcesAsksTheStore)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.hasSources = false;
+    EXPECT_TRUE(decideFeed(role, view, start).direct);
+}
+
+/// Pattern: the store turns a watcher away while it serves the rest; followers notice by what others announce.
+TEST(FeedRole, LaggingFollowerChangesItsSourceAndThenAsksTheStore)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.sourceSince = start;
+    view.newest = 12;
+    bool switched = false;
+    Core::time_point now = start;
+    for (; now < start + 4s; now += 100ms) {
+        const auto decision = decideFeed(role, view, now);
+        if (decision.switchSource && !switched) {
+            switched = true;
+            view.sourceSince = now;
+            EXPECT_FALSE(decision.direct);
+        }
+        if (decision.direct) {
+            break;
+        }
+    }
+    EXPECT_TRUE(switched);
+    EXPECT_LT(now, start + 3s) << "a change must be in force within some seconds";
+}
+
+/// Under steady change something is always on its way; that is no lag.
+TEST(FeedRole, SteadyChangeIsNoLag)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.sourceSince = start;
+    for (Core::time_point now = start; now < start + 10s; now += 300ms) {
+        view.newest += 5;
+        const auto decision = decideFeed(role, view, now);
+        EXPECT_FALSE(decision.direct || decision.switchSource);
+        view.known = view.newest - 1;
+    }
+}
+
+TEST(FeedRole, WatcherThatLostTheStoreFollowsAnother)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.watchesStore = true;
+    view.isDirect = true;
+    view.storeLostFor = 2s;
+    EXPECT_FALSE(decideFeed(role, view, start).direct);
+    view.isDirect = false;
+    view.storeLostFor = {};
+    EXPECT_FALSE(decideFeed(role, view, start + 1s).direct);
+    EXPECT_TRUE(decideFeed(role, view, start + 10s).direct);
+}
+
+/// Pattern: a daemon that is cut off from all others but not from the store.
+TEST(FeedRole, DaemonThatHearsNobodyAsksTheStore)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.hearsPeers = false;
+    EXPECT_TRUE(decideFeed(role, view, start).direct);
+}
+
+/// Pattern: watches hear nothing while changes are made; the peers' announcements show that something was missed.
+TEST(FeedRole, WatcherThatLagsReadsEverythingAnew)
+{
+    feed_role role;
+    feed_view view = follower();
+    view.watchesStore = true;
+    view.isDirect = true;
+    view.newest = 11;
+    EXPECT_FALSE(decideFeed(role, view, start).refresh);
+    EXPECT_TRUE(decideFeed(role, view, start + 1s).refresh);
+    EXPECT_FALSE(decideFeed(role, view, start + 1100ms).refresh);
+}
--- a/Tests/LibForward/Fixtures.h
+++ b/Tests/LibForward/Fixtures.h
@@ -11,7 +11,8 @@
 namespace Fixtures
 {
 /// A gathering route over `shards` services named s0, s1, ... with a target latency of 120 ms and a timeout of 1200 ms.
-std::shared_ptr<const Forward::traffic_configuration> gatheringConfiguration(std::size_t shards, double minimumCoverage);
+std::shared_ptr<const Forward::traffic_configuration> gatheringConfiguration(std::size_t shards,
+                                                                             double minimumCoverage);
 
 /// A route to the one service s0, with a target latency of 400 ms and a timeout of 4000 ms.
 std::shared_ptr<const Forward::traffic_configuration> singleConfiguration(Forward::repeat_policy repeat);
--- a/Tests/LibForward/Simulation.cpp
+++ b/Tests/LibForward/Simulation.cpp
@@ -95,15 +95,13 @@
     for (const Forward::send_attempt &send : effects.sends) {
         ++m_totals.attempts;
         const arrival arrived {index, send.attempt, m_now};
-        at(m_now + m_replicas.at(send.replica).oneWay,
-           [this, key = send.replica, arrived]() { arrive(key, arrived); });
+        at(m_now + m_replicas.at(send.replica).oneWay, [this, key = send.replica, arrived]() { arrive(key, arrived); });
     }
     if (effects.finished) {
         finish(index, *effects.finished);
     } else if (effects.wakeAt && !m_requests[index]->finished) {
-        at(std::max(*effects.wakeAt, m_now), [this, index]() {
-            carryOut(index, Forward::onTimer(*m_requests[index], m_context, m_now));
-        });
+        at(std::max(*effects.wakeAt, m_now),
+           [this, index]() { carryOut(index, Forward::onTimer(*m_requests[index], m_context, m_now)); });
     }
 }
 
--- a/Tests/LibForward/Simulation.h
+++ b/Tests/LibForward/Simulation.h
@@ -24,8 +24,8 @@
     std::size_t refused = 0; ///< Refused as not run, also when they came again.
     std::size_t failed = 0;
     std::size_t attempts = 0;
-    /// Sum of the squares of the coverage of answers in time, a tenth of that for late ones, and the mean of the two for
-    /// those in time after they were refused once.
+    /// Sum of the squares of the coverage of answers in time, a tenth of that for late ones, and the mean of the two
+    /// for those in time after they were refused once.
     double worth = 0.0;
 
     [[nodiscard]] double meanWorth() const
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -113,9 +113,8 @@
         }
     }
     for (const Core::time_point from : sent) {
-        const auto inSecond
-            = std::count_if(sent.begin(), sent.end(),
-                            [&](Core::time_point time) { return time >= from && time < from + 1s; });
+        const auto inSecond = std::count_if(sent.begin(), sent.end(),
+                                            [&](Core::time_point time) { return time >= from && time < from + 1s; });
         EXPECT_LE(static_cast<double>(inSecond) * 3, allowedInASecond);
     }
     EXPECT_GT(sent.size(), 8U);
--- a/Tests/LibForward/TestHeavyLoad.cpp
+++ b/Tests/LibForward/TestHeavyLoad.cpp
@@ -100,8 +100,8 @@
     EXPECT_LE(static_cast<double>(seen.attempts) - firsts, allowed);
 }
 
-/// Pattern: a crowd asks for more than all replicas can work off. Some callers are sent away at once and most of those who
-/// are let in get their answer in time; without refusals nearly all would come late.
+/// Pattern: a crowd asks for more than all replicas can work off. Some callers are sent away at once and most of those
+/// who are let in get their answer in time; without refusals nearly all would come late.
 TEST(HeavyLoad, CrowdIsPartlySentAwayAndTheRestServedInTime)
 {
     simulation played = makeSimulation(0.89);
--- a/Tests/LibForward/TestRepeatBudget.cpp
+++ b/Tests/LibForward/TestRepeatBudget.cpp
@@ -35,8 +35,8 @@
     };
     for (const Core::time_point from : repeats) {
         // A window's first requests are those in it or in one that begins half a window or a window before.
-        const auto counted = std::max({countIn(firsts, from), countIn(firsts, from - limits.window / 2),
-                                       countIn(firsts, from - limits.window)});
+        const auto counted = std::max(
+            {countIn(firsts, from), countIn(firsts, from - limits.window / 2), countIn(firsts, from - limits.window)});
         EXPECT_LE(static_cast<double>(countIn(repeats, from)),
                   limits.ratio * static_cast<double>(counted) + limits.slack);
     }
--- a/Tests/LibForward/TestRouting.cpp
+++ b/Tests/LibForward/TestRouting.cpp
@@ -35,7 +35,8 @@
 
 TEST(Routing, LongestPrefixOfTheHostWins)
 {
-    const auto configuration = configurationOf({{"one.example", "/a/"}, {"one.example", "/a/b/"}, {"two.example", "/"}});
+    const auto configuration =
+        configurationOf({{"one.example", "/a/"}, {"one.example", "/a/b/"}, {"two.example", "/"}});
     EXPECT_EQ(nameOf(Forward::findRoute(configuration, "one.example", "/a/b/c")), "one.example/a/b/");
     EXPECT_EQ(nameOf(Forward::findRoute(configuration, "one.example", "/a/x")), "one.example/a/");
     EXPECT_EQ(nameOf(Forward::findRoute(configuration, "one.example", "/b/")), "none");
--- a/Tests/LibFront/TestCallerConnection.cpp
+++ b/Tests/LibFront/TestCallerConnection.cpp
@@ -1,5 +1,5 @@
-#include "LoopFixture.h"
-#include "RawPeer.h"
+#include "Support/LoopFixture.h"
+#include "Support/RawPeer.h"
 
 #include "LibFront/HttpServer.h"
 
