--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -42,10 +42,10 @@
                          },
                      .sources =
                          [this]() {
-                             std::vector<std::string> sources
-                                 = Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_places,
-                                                        std::chrono::steady_clock::now())
-                                       .sources;
+                             std::vector<std::string> sources =
+                                 Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_places,
+                                                      std::chrono::steady_clock::now())
+                                     .sources;
                              if (!m_complete) {
                                  // A new daemon's view of the fleet is small; the seeds ask the store at once.
                                  const std::vector<std::string> &seeds = m_exchange.table().seedAddresses;
--- a/Libraries/LibForward/LatencyHistogram.cpp
+++ b/Libraries/LibForward/LatencyHistogram.cpp
@@ -20,6 +20,11 @@
     return std::min(bucket, latency_histogram::bucketCount - 1);
 }
 
+Core::duration upperEdge(std::size_t bucket)
+{
+    return Core::fromSeconds(firstEdge.count() * std::pow(growth, static_cast<double>(bucket)));
+}
+
 void recordLatency(latency_histogram &histogram, Core::duration latency)
 {
     ++histogram.counts[bucketOf(latency)];
@@ -44,9 +49,9 @@
     for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
         seen += histogram.counts[bucket];
         if (seen >= wanted) {
-            return Core::fromSeconds(firstEdge.count() * std::pow(growth, static_cast<double>(bucket)));
+            return upperEdge(bucket);
         }
     }
-    return Core::fromSeconds(firstEdge.count() * std::pow(growth, static_cast<double>(histogram.counts.size())));
+    return upperEdge(histogram.counts.size());
 }
 } // namespace Forward
--- a/Libraries/LibForward/LatencyHistogram.h
+++ b/Libraries/LibForward/LatencyHistogram.h
@@ -14,6 +14,9 @@
     std::uint32_t total = 0;
 };
 
+/// The longest latency that a bucket holds.
+[[nodiscard]] Core::duration upperEdge(std::size_t bucket);
+
 void recordLatency(latency_histogram &histogram, Core::duration latency);
 
 /// Returns the upper edge of the bucket that holds the quantile (0 to 1); zero without enough samples.
--- a/Libraries/LibForward/RetryAfter.cpp
+++ b/Libraries/LibForward/RetryAfter.cpp
@@ -6,7 +6,8 @@
 {
 using namespace std::chrono_literals;
 
-static constexpr Core::duration earliestReturn = 30ms; ///< A full replica has taken some requests off its queue by then.
+static constexpr Core::duration earliestReturn =
+    30ms; ///< A full replica has taken some requests off its queue by then.
 static constexpr Core::duration latestReturn = 150ms; ///< Callers still have most of their time left.
 
 Core::duration drawRetryAfter(Core::random_engine &random)
