--- /dev/null
+++ b/Tests/platform/DaemonProcess.cpp
@@ -0,0 +1,76 @@
+#include "DaemonProcess.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+daemon_process::daemon_process(const std::string &settings)
+{
+    char path[] = "/tmp/ragwortcrank-settings-XXXXXX";
+    const int file = mkstemp(path);
+    if (file < 0) {
+        throw std::runtime_error("no temporary file");
+    }
+    close(file);
+    m_settingsPath = path;
+    std::ofstream(m_settingsPath) << settings;
+    std::string variable = "RAGWORTCRANK_BOOT=" + m_settingsPath;
+    std::string program = DAEMON_PROGRAM;
+    char *arguments[] = {program.data(), nullptr};
+    char *environment[] = {variable.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    const int failure = posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0) {
+        throw std::runtime_error("the daemon cannot be started");
+    }
+}
+
+daemon_process::~daemon_process()
+{
+    if (!exitStatus()) {
+        kill(m_process, SIGKILL);
+        waitpid(m_process, nullptr, 0);
+    }
+    std::remove(m_settingsPath.c_str());
+}
+
+void daemon_process::signal(int number) const
+{
+    kill(m_process, number);
+}
+
+std::optional<int> daemon_process::exitStatus()
+{
+    int status = 0;
+    if (!m_status && waitpid(m_process, &status, WNOHANG) == m_process) {
+        m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    return m_status;
+}
+
+int freePort()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    const bool bound = bind(probe, reinterpret_cast<sockaddr *>(&address), size) == 0
+        && getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    close(probe);
+    return bound ? ntohs(address.sin_port) : 0;
+}
--- /dev/null
+++ b/Tests/platform/DaemonProcess.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include <sys/types.h>
+
+/// The real daemon as a process of its own, ended by its id when the test ends.
+class daemon_process
+{
+public:
+    /// Starts the program with a settings file of the given text.
+    explicit daemon_process(const std::string &settings);
+    ~daemon_process();
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
+
+    void signal(int number) const;
+    /// The exit status once the process has ended; nothing while it runs.
+    [[nodiscard]] std::optional<int> exitStatus();
+
+private:
+    std::string m_settingsPath;
+    pid_t m_process = -1;
+    std::optional<int> m_status;
+};
+
+/// A port that was free a moment ago, for TCP and UDP.
+int freePort();
--- /dev/null
+++ b/Tests/platform/TestDaemon.cpp
@@ -0,0 +1,211 @@
+#include "DaemonProcess.h"
+#include "StandInStore.h"
+#include "Support/LoopFixture.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <csignal>
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr const char *configuration = R"({
+  "version": 5,
+  "routes": [
+    {"name": "g", "host": "h.example", "path-prefix": "/g/", "route-type": "idempotent", "timeout-ms": 3000,
+     "target-latency-ms": 1000, "priority": 1, "gather": ["a", "b"], "attempts": 2, "top-k": 2, "min-coverage": 0.5},
+    {"name": "s", "host": "h.example", "path-prefix": "/s/", "route-type": "non_idempotent", "timeout-ms": 3000,
+     "target-latency-ms": 1000, "priority": 2, "backend": "a", "attempts": 2}],
+  "services": [{"name": "a", "health-path": "/health", "max-conns": 20, "warmup-s": 1.0, "warmup-per-s": 0},
+               {"name": "b", "health-path": "/health", "max-conns": 20, "warmup-s": 1.0, "warmup-per-s": 0}],
+  "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
+})";
+
+/// A record of 16 bytes that begins with the given letter.
+std::string record(char lead)
+{
+    return std::string(1, lead) + std::string(15, '.');
+}
+
+class daemon_test : public loop_fixture
+{
+protected:
+    void SetUp() override
+    {
+        m_front = freePort();
+        m_ready = freePort();
+        m_directory = freePort();
+        m_control = freePort();
+        m_peers = freePort();
+    }
+
+    void addReplica(const std::string &id, const std::string &service, const raw_server &server)
+    {
+        m_store.put("servers", id,
+                    R"({"backend": ")" + service + R"(", "address": "127.0.0.1:)"
+                        + std::to_string(server.address().port())
+                        + R"(", "zone": "z1", "version": "v1", "max-concurrency": 2, "state": "ready",
+                            "warmup-left-ms": 0, "sequence": 1, "born": 1})");
+    }
+
+    void startDaemon()
+    {
+        const auto at = [](int port) {
+            return "127.0.0.1:" + std::to_string(port);
+        };
+        m_daemon = std::make_unique<daemon_process>(boost::json::serialize(boost::json::object {
+            {"node-name", "front-1"},
+            {"ip", "127.0.0.1"},
+            {"zone", "z1"},
+            {"region", "r1"},
+            {"zones", {{"z1", "r1"}}},
+            {"listen-addrs",
+             {{"front", at(m_front)},
+              {"readiness", at(m_ready)},
+              {"directory", at(m_directory)},
+              {"control", at(m_control)}}},
+            {"port-range", {m_peers, m_peers}},
+            {"seeds", {at(m_control)}},
+            {"bounds", {{"grace-s", 2}, {"ttl_max_s", 1}}},
+            {"platform", {{"address", m_store.address()}}},
+        }));
+    }
+
+    /// Connects to one of the daemon's ports; nothing if nobody listens there.
+    std::shared_ptr<raw_connection> connect(int port)
+    {
+        boost::asio::ip::tcp::socket socket(m_loop);
+        boost::system::error_code error;
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)}, error);
+        if (error) {
+            return nullptr;
+        }
+        auto caller = std::make_shared<raw_connection>(std::move(socket));
+        caller->read([](raw_connection &) {});
+        return caller;
+    }
+
+    /// The whole answer to one request on a connection of its own; empty if there is none.
+    std::string ask(int port, const std::string &request)
+    {
+        const auto caller = connect(port);
+        if (!caller) {
+            return {};
+        }
+        caller->send(request + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline-Ms: 3000\r\n"
+                     + "Connection: close\r\n\r\n");
+        runUntil([&]() { return caller->ended; });
+        return caller->received;
+    }
+
+    bool becomesReady()
+    {
+        return runUntil([this]() { return ask(m_ready, "GET /api/ready").starts_with("HTTP/1.1 200"); });
+    }
+
+    static raw_server::script answering(const std::string &digest, const std::string &body)
+    {
+        return [=](raw_connection &peer) {
+            if (peer.received.find("\r\n\r\n") != std::string::npos) {
+                peer.received.clear();
+                peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: " + digest
+                          + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            }
+        };
+    }
+
+    int m_front = 0;
+    int m_ready = 0;
+    int m_directory = 0;
+    int m_control = 0;
+    int m_peers = 0;
+    stand_in_store m_store {m_loop};
+    std::unique_ptr<daemon_process> m_daemon;
+};
+} // namespace
+
+TEST_F(daemon_test, ServesWhatTheStoreNames)
+{
+    raw_server first(m_loop, answering("digest-a", record('b') + record('d')));
+    raw_server second(m_loop, answering("digest-b", record('c') + "rest"));
+    m_store.put("config", "main", configuration);
+    addReplica("i-a", "a", first);
+    addReplica("i-b", "b", second);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+
+    const std::string gathered = ask(m_front, "GET /g/1");
+    EXPECT_TRUE(gathered.starts_with("HTTP/1.1 200")) << gathered;
+    EXPECT_NE(gathered.find("Shard-Stamps: digest-a, digest-b"), std::string::npos) << gathered;
+    EXPECT_NE(gathered.find("Missing-Shards: 0"), std::string::npos);
+    EXPECT_TRUE(gathered.ends_with(record('d') + record('c')));
+
+    const std::string passed = ask(m_front, "GET /s/1");
+    EXPECT_NE(passed.find("Server-Stamp: digest-a"), std::string::npos) << passed;
+    EXPECT_TRUE(passed.ends_with(record('b') + record('d')));
+    EXPECT_TRUE(ask(m_front, "GET /other/").starts_with("HTTP/1.1 404"));
+
+    const std::string named = ask(m_directory, "GET /api/resolve?name=h.example&region=r1&zone=z1");
+    EXPECT_NE(named.find(R"({"addrs":["127.0.0.1:)" + std::to_string(m_front) + R"("],"ttl_s":1})"), std::string::npos)
+        << named;
+    EXPECT_NE(ask(m_control, "GET /metrics").find("ragwortcrank_answered_total 2"), std::string::npos);
+}
+
+/// One shard has no replica: the answer says so and is not refused, since the route allows half.
+TEST_F(daemon_test, MissingShardIsNamedAsMissing)
+{
+    raw_server first(m_loop, answering("digest-a", record('b')));
+    m_store.put("config", "main", configuration);
+    addReplica("i-a", "a", first);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    const std::string gathered = ask(m_front, "GET /g/1");
+    EXPECT_TRUE(gathered.starts_with("HTTP/1.1 200")) << gathered;
+    EXPECT_NE(gathered.find("Missing-Shards: 1"), std::string::npos);
+}
+
+TEST_F(daemon_test, RefusesAsNotRunWithoutAConfiguration)
+{
+    m_store.isDown = true;
+    startDaemon();
+    std::string answer;
+    ASSERT_TRUE(runUntil([&]() {
+        answer = ask(m_front, "GET /g/1");
+        return !answer.empty();
+    }));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(ask(m_ready, "GET /api/ready").starts_with("HTTP/1.1 503"));
+    EXPECT_TRUE(ask(m_directory, "GET /api/resolve?zone=z1").starts_with("HTTP/1.1 503"));
+}
+
+/// A planned stop: not ready at once, kept connections are still served and then asked to close, exit within the grace.
+TEST_F(daemon_test, PlannedStopCutsNoRequest)
+{
+    raw_connection *asked = nullptr;
+    raw_server slow(m_loop, [&](raw_connection &peer) { asked = &peer; });
+    m_store.put("config", "main", configuration);
+    addReplica("i-a", "a", slow);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    const auto caller = connect(m_front);
+    ASSERT_TRUE(caller);
+    caller->send("POST /s/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nContent-Length: 2\r\n\r\nab");
+    ASSERT_TRUE(runUntil([&]() { return asked != nullptr; }));
+    m_daemon->signal(SIGTERM);
+    ASSERT_TRUE(runUntil([this]() { return ask(m_ready, "GET /api/ready").starts_with("HTTP/1.1 503"); }));
+    asked->send("HTTP/1.1 200 OK\r\nServer-Stamp: d\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(runUntil([&]() { return caller->received.ends_with("ok"); })) << caller->received;
+    EXPECT_NE(caller->received.find("Connection: close"), std::string::npos);
+    ASSERT_TRUE(runUntil([this]() { return m_daemon->exitStatus().has_value(); }));
+    EXPECT_EQ(m_daemon->exitStatus(), 0);
+}
+
+TEST_F(daemon_test, FaultySettingsEndTheStart)
+{
+    daemon_process faulty(R"({"node-name": 5})");
+    ASSERT_TRUE(runUntil([&]() { return faulty.exitStatus().has_value(); }));
+    EXPECT_EQ(faulty.exitStatus(), 2);
+}
