--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -35,15 +35,15 @@
     if (allowedRegions.empty()) {
         return true;
     }
-    const auto region = book.regionsByZone.find(replica.entry.zone);
-    return region != book.regionsByZone.end()
+    const auto region = book.regionsByDataCentre.find(replica.entry.dataCentre);
+    return region != book.regionsByDataCentre.end()
         && std::find(allowedRegions.begin(), allowedRegions.end(), region->second) != allowedRegions.end();
 }
 
 static bool mayServe(const replica_book &book, const replica_state &replica, const choice_filter &filter,
                      Core::time_point now)
 {
-    return !replica.gone && !replica.entry.draining && !book.evacuatedZones.contains(replica.entry.zone)
+    return !replica.gone && !replica.entry.draining && !book.evacuatedDataCentres.contains(replica.entry.dataCentre)
         && regionAllowed(book, replica, filter.allowedRegions) && coldAllows(book, replica, filter.policy, now);
 }
 
--- a/Libraries/LibForward/ExpectedLatency.cpp
+++ b/Libraries/LibForward/ExpectedLatency.cpp
@@ -22,7 +22,7 @@
 Core::duration wayThereAndBack(locality distance)
 {
     switch (distance) {
-    case locality::SameZone:
+    case locality::SameDataCentre:
         return 1ms;
     case locality::SameRegion:
         return 4ms;
--- a/Libraries/LibForward/Locality.h
+++ b/Libraries/LibForward/Locality.h
@@ -4,7 +4,7 @@
 {
 /// How far a replica is from this daemon.
 enum class locality {
-    SameZone,
+    SameDataCentre,
     SameRegion,
     OtherRegion,
 };
--- a/Libraries/LibForward/ReplicaBook.h
+++ b/Libraries/LibForward/ReplicaBook.h
@@ -16,11 +16,11 @@
 {
 /// All services and replicas that this daemon knows. Indices of services stay valid for the process's life.
 struct replica_book {
-    std::string ownZone;
-    std::map<std::string, std::string> regionsByZone;
+    std::string ownDataCentre;
+    std::map<std::string, std::string> regionsByDataCentre;
     std::vector<std::unique_ptr<service_state>> services;
     std::unordered_map<std::string, std::size_t> servicesByName;
-    std::set<std::string> evacuatedZones; ///< Their replicas get no new requests.
+    std::set<std::string> evacuatedDataCentres; ///< Their replicas get no new requests.
     repeat_limits repeatLimits;
     std::size_t daemons = 1; ///< Live daemons, which share connections, slack and cold allowances.
     double coldOvershoot = 1.0; ///< Factor on a service's stated cold rate that a replica still bears.
--- a/Libraries/LibForward/ReplicaEntry.h
+++ b/Libraries/LibForward/ReplicaEntry.h
@@ -12,7 +12,7 @@
     std::string id;
     std::string service;
     std::string address; ///< IP address and port.
-    std::string zone;
+    std::string dataCentre;
     std::string version; ///< Of its software.
     unsigned slots = 1; ///< Requests that it processes at once.
     bool draining = false;
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -21,14 +21,14 @@
     return book.services[key.service]->replicas[key.replica];
 }
 
-static locality distanceTo(const replica_book &book, const std::string &zone)
+static locality distanceTo(const replica_book &book, const std::string &dataCentre)
 {
-    if (zone == book.ownZone) {
-        return locality::SameZone;
+    if (dataCentre == book.ownDataCentre) {
+        return locality::SameDataCentre;
     }
-    const auto own = book.regionsByZone.find(book.ownZone);
-    const auto other = book.regionsByZone.find(zone);
-    const bool known = own != book.regionsByZone.end() && other != book.regionsByZone.end();
+    const auto own = book.regionsByDataCentre.find(book.ownDataCentre);
+    const auto other = book.regionsByDataCentre.find(dataCentre);
+    const bool known = own != book.regionsByDataCentre.end() && other != book.regionsByDataCentre.end();
     return known && own->second == other->second ? locality::SameRegion : locality::OtherRegion;
 }
 
@@ -76,7 +76,7 @@
     replica_state &replica = replicaAt(book, place);
     replica = {};
     replica.entry = entry;
-    replica.distance = distanceTo(book, entry.zone);
+    replica.distance = distanceTo(book, entry.dataCentre);
     replica.coldUntil = now + entry.coldFor;
     return place;
 }
--- a/Tests/LibForward/Fixtures.cpp
+++ b/Tests/LibForward/Fixtures.cpp
@@ -52,20 +52,20 @@
 Forward::forward_context makeContext()
 {
     Forward::forward_context context;
-    context.book.ownZone = "a";
-    context.book.regionsByZone = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}};
+    context.book.ownDataCentre = "a";
+    context.book.regionsByDataCentre = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}};
     context.book.repeatLimits = {.ratio = 0.2, .slack = 20.0, .window = 10s};
     context.random.seed(7);
     return context;
 }
 
-Forward::replica_entry replicaEntry(const std::string &id, const std::string &service, const std::string &zone)
+Forward::replica_entry replicaEntry(const std::string &id, const std::string &service, const std::string &dataCentre)
 {
     Forward::replica_entry entry;
     entry.id = id;
     entry.service = service;
     entry.address = "127.0.0.1:1";
-    entry.zone = zone;
+    entry.dataCentre = dataCentre;
     entry.version = "v1";
     entry.slots = 2;
     entry.startedAt = 1;
--- a/Tests/LibForward/Fixtures.h
+++ b/Tests/LibForward/Fixtures.h
@@ -17,8 +17,9 @@
 /// A route to the one service s0, with a target latency of 400 ms and a timeout of 4000 ms.
 std::shared_ptr<const Forward::traffic_configuration> singleConfiguration(Forward::repeat_policy repeat);
 
-/// A context in zone a of three zones, each in a region of its own, without repeats limits that a test does not set.
+/// A context in data centre a of three data centres, each in a region of its own, without repeats limits that a test
+/// does not set.
 Forward::forward_context makeContext();
 
-Forward::replica_entry replicaEntry(const std::string &id, const std::string &service, const std::string &zone);
+Forward::replica_entry replicaEntry(const std::string &id, const std::string &service, const std::string &dataCentre);
 } // namespace Fixtures
--- a/Tests/LibForward/Simulation.cpp
+++ b/Tests/LibForward/Simulation.cpp
@@ -32,21 +32,21 @@
     , m_context(Fixtures::makeContext())
     , m_random(seed)
 {
-    const char *names[zones] = {"a", "b", "c"};
+    const char *names[dataCentres] = {"a", "b", "c"};
     for (std::size_t shard = 0; shard < shards; ++shard) {
         const std::string service = "s" + std::to_string(shard);
-        for (std::size_t zone = 0; zone < zones; ++zone) {
-            const auto entry = Fixtures::replicaEntry(service + "-" + names[zone], service, names[zone]);
+        for (std::size_t dataCentre = 0; dataCentre < dataCentres; ++dataCentre) {
+            const auto entry = Fixtures::replicaEntry(service + "-" + names[dataCentre], service, names[dataCentre]);
             const auto key = Forward::applyEntry(m_context.book, entry, m_now);
             simulated_replica &replica = m_replicas[key.value()];
-            replica.oneWay = zone == 0 ? nearWay : farWay;
+            replica.oneWay = dataCentre == 0 ? nearWay : farWay;
         }
     }
 }
 
-simulated_replica &simulation::replica(std::size_t shard, std::size_t zone)
+simulated_replica &simulation::replica(std::size_t shard, std::size_t dataCentre)
 {
-    return m_replicas.at({shard, zone});
+    return m_replicas.at({shard, dataCentre});
 }
 
 void simulation::at(Core::time_point when, std::function<void()> work)
--- a/Tests/LibForward/Simulation.h
+++ b/Tests/LibForward/Simulation.h
@@ -35,20 +35,20 @@
 };
 
 /// Drives the request state machine against simulated replicas on virtual time: one daemon, `shards` shards with one
-/// replica in each of three zones.
+/// replica in each of three data centres.
 class simulation
 {
 public:
     simulation(std::shared_ptr<const Forward::traffic_configuration> configuration, std::size_t shards,
                Core::duration meanWork, std::uint64_t seed);
 
-    [[nodiscard]] simulated_replica &replica(std::size_t shard, std::size_t zone);
+    [[nodiscard]] simulated_replica &replica(std::size_t shard, std::size_t dataCentre);
     /// Whether a refused caller comes again, once, after the daemon's Retry-After.
     void letCallersReturn();
     /// Lets requests arrive at random at a mean rate, and plays until all have ended.
     [[nodiscard]] totals run(double requestsPerSecond, Core::duration length);
 
-    static constexpr std::size_t zones = 3;
+    static constexpr std::size_t dataCentres = 3;
 
 private:
     struct event {
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -17,8 +17,9 @@
 protected:
     void SetUp() override
     {
-        for (const char *zone : {"a", "b", "c"}) {
-            Forward::applyEntry(m_context.book, Fixtures::replicaEntry(std::string("r-") + zone, "s0", zone), m_now);
+        for (const char *dataCentre : {"a", "b", "c"}) {
+            Forward::applyEntry(m_context.book,
+                                Fixtures::replicaEntry(std::string("r-") + dataCentre, "s0", dataCentre), m_now);
         }
     }
 
@@ -78,7 +79,7 @@
     Forward::applyEntry(m_context.book, draining, m_now);
     Forward::removeEntry(m_context.book, "r-b");
     EXPECT_EQ(choose(), "r-c");
-    m_context.book.evacuatedZones.insert("c");
+    m_context.book.evacuatedDataCentres.insert("c");
     EXPECT_EQ(choose(), "none");
 }
 
@@ -90,7 +91,8 @@
     EXPECT_EQ(choose({.allowedRegions = elsewhere}), "none");
 }
 
-/// A zone that returns is cold as a whole: all daemons together stay within what a cold replica bears in any second.
+/// A data centre that returns is cold as a whole: all daemons together stay within what a cold replica bears in any
+/// second.
 TEST_F(choose_replica_test, ColdReplicaGetsThisDaemonsPartOfItsAllowance)
 {
     Forward::removeEntry(m_context.book, "r-b");
--- a/Tests/LibForward/TestHeavyLoad.cpp
+++ b/Tests/LibForward/TestHeavyLoad.cpp
@@ -26,11 +26,11 @@
 void letAllPause(simulation &played)
 {
     for (std::size_t shard = 0; shard < shards; ++shard) {
-        for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
-            Simulation::simulated_replica &replica = played.replica(shard, zone);
+        for (std::size_t dataCentre = 0; dataCentre < simulation::dataCentres; ++dataCentre) {
+            Simulation::simulated_replica &replica = played.replica(shard, dataCentre);
             replica.pauseEvery = 3600ms;
             replica.pauseFor = 150ms;
-            replica.pausePhase = std::chrono::milliseconds(337 * (shard * simulation::zones + zone));
+            replica.pausePhase = std::chrono::milliseconds(337 * (shard * simulation::dataCentres + dataCentre));
         }
     }
 }
@@ -62,9 +62,9 @@
 TEST(HeavyLoad, DarkShardCostsItsPartOnly)
 {
     simulation played = makeSimulation(0.89);
-    for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
-        played.replica(3, zone).darkFrom = Core::time_point {1005s};
-        played.replica(3, zone).darkUntil = Core::time_point {1015s};
+    for (std::size_t dataCentre = 0; dataCentre < simulation::dataCentres; ++dataCentre) {
+        played.replica(3, dataCentre).darkFrom = Core::time_point {1005s};
+        played.replica(3, dataCentre).darkUntil = Core::time_point {1015s};
     }
     const Simulation::totals seen = played.run(calmRate, length);
     EXPECT_GE(inTimePart(seen), wantedInTime);
@@ -89,8 +89,8 @@
 {
     simulation played = makeSimulation(0.89);
     for (std::size_t shard = 0; shard < shards; ++shard) {
-        for (std::size_t zone = 0; zone < simulation::zones; ++zone) {
-            played.replica(shard, zone).slowness = 5.0;
+        for (std::size_t dataCentre = 0; dataCentre < simulation::dataCentres; ++dataCentre) {
+            played.replica(shard, dataCentre).slowness = 5.0;
         }
     }
     const Simulation::totals seen = played.run(calmRate, length);
@@ -108,7 +108,7 @@
     played.letCallersReturn();
     const Simulation::totals calm = played.run(calmRate, 5s);
     EXPECT_EQ(calm.refused, 0U);
-    const double capacity = simulation::zones * 2 / Core::toSeconds(meanWork);
+    const double capacity = simulation::dataCentres * 2 / Core::toSeconds(meanWork);
     const Simulation::totals crowd = played.run(capacity * 1.3, 6s);
     EXPECT_GE(crowd.meanWorth(), 0.5);
     EXPECT_LE(static_cast<double>(crowd.refused), 0.6 * static_cast<double>(crowd.requests));
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -23,9 +23,9 @@
     {
         for (std::size_t index = 0; index < services; ++index) {
             const std::string service = "s" + std::to_string(index);
-            for (const char *zone : {"a", "b", "c"}) {
-                const std::string id = service + "-" + zone;
-                Forward::applyEntry(m_context.book, Fixtures::replicaEntry(id, service, zone), m_now);
+            for (const char *dataCentre : {"a", "b", "c"}) {
+                const std::string id = service + "-" + dataCentre;
+                Forward::applyEntry(m_context.book, Fixtures::replicaEntry(id, service, dataCentre), m_now);
             }
         }
     }
