--- a/Tests/Processes/TestFleet.h
+++ b/Tests/Processes/TestFleet.h
@@ -30,7 +30,7 @@
     child_process &store();
     /// Kills the store and starts it again; it has kept nothing.
     void loseStore();
-    /// Puts the configuration that the daemon has in force into the store, as OPERATING.md tells operators to do.
+    /// Puts the configuration that the daemon has in force into the store, as OPERATIONS.md tells operators to do.
     void restoreConfiguration(int daemon);
     /// Starts the daemon again after its process has ended.
     void restartDaemon(int daemon);
--- a/Utilities/ragwortcrankctl/ExitCode.h
+++ b/Utilities/ragwortcrankctl/ExitCode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The exit codes of ragwortcrankctl, as documented in docs/OPERATING.md.
+/// The exit codes of ragwortcrankctl, as documented in docs/OPERATIONS.md.
 enum class exit_code {
     Success = 0,
     Failed = 1, ///< The daemon refused or failed for another reason than those below; nothing was changed.
