LibForward, platform: Follow rollouts

Cause: replicas were chosen without regard to their version, so a bad version would get its full share at once.

--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -130,7 +130,10 @@
 void peer_exchange::runRound(Core::time_point now)
 {
     noticeSuspension(now);
-    const Membership::gossip_message message = Membership::startRound(m_table, m_settings, now);
+    Membership::gossip_message message = Membership::startRound(m_table, m_settings, now);
+    addBlobs(message);
+    // Blobs are news for the whole fleet.
+    m_settings.farPart = message.blobs.empty() ? farPart : 1;
     for (const std::string &target : Membership::chooseTargets(m_table, m_settings, now, m_random)) {
         sendTo(target, datagram_kind::Round, message);
     }
@@ -140,6 +143,19 @@
                       [this](Core::time_point due) { runRound(due); });
 }
 
+void peer_exchange::carryBlobs(produce_function produce, merge_function merge)
+{
+    m_produceBlobs = std::move(produce);
+    m_mergeBlob = std::move(merge);
+}
+
+void peer_exchange::addBlobs(Membership::gossip_message &message)
+{
+    if (m_produceBlobs) {
+        message.blobs = m_produceBlobs(m_settings.blobBudget);
+    }
+}
+
 void peer_exchange::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
@@ -164,8 +180,15 @@
         return;
     }
     const Core::time_point now = std::chrono::steady_clock::now();
+    for (const Membership::keyed_blob &blob : received->message.blobs) {
+        if (m_mergeBlob) {
+            m_mergeBlob(blob);
+        }
+    }
     if (received->kind == datagram_kind::Round) {
-        sendTo(sender, datagram_kind::Reply, Membership::onGossip(m_table, received->message, m_settings, now));
+        Membership::gossip_message reply = Membership::onGossip(m_table, received->message, m_settings, now);
+        addBlobs(reply);
+        sendTo(sender, datagram_kind::Reply, reply);
     } else if (const auto further = Membership::onGossipReply(m_table, received->message, m_settings, now)) {
         sendTo(sender, datagram_kind::Round, *further);
     }
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Time.h"
 #include "LibFront/TimerQueue.h"
+#include "LibMembership/KeyedBlob.h"
 #include "LibMembership/MemberTable.h"
 #include "LibMembership/MembershipSettings.h"
 
@@ -38,6 +39,11 @@
     peer_exchange(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
                   Membership::member_table table, change_function onChange, round_function onRound);
 
+    /// What travels along with gossip, asked for in each round, and what to do with what comes.
+    using produce_function = std::function<std::vector<Membership::keyed_blob>(std::size_t budget)>;
+    using merge_function = std::function<void(const Membership::keyed_blob &)>;
+    void carryBlobs(produce_function produce, merge_function merge);
+
     /// Starts to exchange. Throws boost::system::system_error if the port cannot be bound.
     void start();
     /// Tells the fleet that this daemon leaves.
@@ -54,6 +60,7 @@
     void runRound(Core::time_point now);
     void receive();
     void onDatagram(std::string_view bytes);
+    void addBlobs(Membership::gossip_message &message);
     void sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message);
     void noticeSuspension(Core::time_point now);
     void noticeChange(Core::time_point now);
@@ -64,6 +71,8 @@
     Membership::membership_settings m_settings;
     change_function m_onChange;
     round_function m_onRound;
+    produce_function m_produceBlobs;
+    merge_function m_mergeBlob;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer {}; ///< The longest datagram.
--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ExpectedLatency.h"
 #include "LibForward/ReplicaBook.h"
+#include "LibForward/RolloutEvents.h"
 
 #include <algorithm>
 #include <random>
@@ -43,6 +44,9 @@
 static bool mayServe(const replica_book &book, const replica_state &replica, const choice_filter &filter,
                      Core::time_point now)
 {
+    if (filter.rollout != nullptr && sideOf(*filter.rollout, replica) != filter.side) {
+        return false;
+    }
     return !replica.gone && !replica.entry.draining && !book.evacuatedDataCentres.contains(replica.entry.dataCentre)
         && regionAllowed(book, replica, filter.allowedRegions) && coldAllows(book, replica, filter.policy, now);
 }
--- a/Libraries/LibForward/ForwardContext.h
+++ b/Libraries/LibForward/ForwardContext.h
@@ -4,6 +4,7 @@
 #include "LibForward/LatencyHistogram.h"
 #include "LibForward/LoadLimit.h"
 #include "LibForward/ReplicaBook.h"
+#include "LibForward/RolloutTrack.h"
 
 #include <string>
 #include <unordered_map>
@@ -15,6 +16,7 @@
     replica_book book;
     std::unordered_map<std::string, latency_histogram> routeLatencies; ///< Of first attempts, by route.
     std::unordered_map<std::size_t, load_limit> loadLimits; ///< Of gathers, by the first shard's place in the book.
+    std::unordered_map<std::string, rollout_track> rollouts; ///< By service.
     Core::random_engine random;
 };
 } // namespace Forward
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -9,6 +9,7 @@
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestState.h"
+#include "LibForward/RolloutEvents.h"
 #include "LibForward/TrafficConfiguration.h"
 
 #include <algorithm>
@@ -29,10 +30,25 @@
 static std::optional<std::size_t> chooseFor(const request_state &request, const part_state &part,
                                             forward_context &context, std::size_t service, Core::time_point now)
 {
-    const choice_filter filter {.policy = policyOf(request.plan, *context.book.services[service]),
-                                .allowedRegions = request.plan.matched->allowedRegions,
-                                .tried = {part.tried.data(), part.tried.size()}};
-    return chooseReplica(context.book, service, filter, now, context.random);
+    const service_state &state = *context.book.services[service];
+    choice_filter filter {.policy = policyOf(request.plan, state),
+                          .allowedRegions = request.plan.matched->allowedRegions,
+                          .tried = {part.tried.data(), part.tried.size()}};
+    const auto rollout = context.rollouts.find(state.name);
+    if (rollout == context.rollouts.end()) {
+        return chooseReplica(context.book, service, filter, now, context.random);
+    }
+    filter.rollout = &rollout->second;
+    filter.side = drawSide(rollout->second, context.random);
+    const auto chosen = chooseReplica(context.book, service, filter, now, context.random);
+    const bool isFinal = rollout->second.outcome == rollout_outcome::RolledBack;
+    if (chosen || isFinal) {
+        return chosen;
+    }
+    // Either side may have no replica yet, or none any more.
+    filter.side = filter.side == Rollout::version_side::New ? Rollout::version_side::Old : Rollout::version_side::New;
+    const bool mayTurn = filter.side == Rollout::version_side::Old || rollout->second.share >= 1.0;
+    return mayTurn ? chooseReplica(context.book, service, filter, now, context.random) : std::nullopt;
 }
 
 static void send(request_state &request, std::size_t partIndex, std::size_t replica, forward_context &context,
--- a/Libraries/LibFront/FrontEnvironment.h
+++ b/Libraries/LibFront/FrontEnvironment.h
@@ -25,5 +25,13 @@
     replica_connections connections;
     std::shared_ptr<const Forward::traffic_configuration> configuration; ///< In force; null until one is known.
     front_counters counters;
+    Core::time_point startedAt = std::chrono::steady_clock::now();
+    Core::wall_time startedAtWall = std::chrono::system_clock::now();
+
+    /// Civil time as of the start, carried on by the steady clock, so that it never jumps.
+    [[nodiscard]] Core::wall_time civilTime(Core::time_point now) const
+    {
+        return startedAtWall + std::chrono::duration_cast<Core::wall_time::duration>(now - startedAt);
+    }
 };
 } // namespace Front
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/AttemptFailure.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/RolloutEvents.h"
 #include "LibForward/TopRecords.h"
 #include "LibForward/TrafficConfiguration.h"
 #include "LibFront/ExchangeEnd.h"
@@ -122,6 +123,7 @@
         takeFailure(attempt, sent, failure, now);
         return;
     }
+    learnVersion(sent, false, now);
     Forward::recordAnswer(m_environment.forward.book, sent.replica, sent.sentAt, now);
     if (m_request.finished) {
         return;
@@ -139,12 +141,27 @@
 void request_task::takeFailure(std::uint32_t attempt, const open_attempt &sent, Forward::attempt_failure failure,
                                Core::time_point now)
 {
+    if (!Forward::provesNotRun(failure)) {
+        learnVersion(sent, true, now);
+    }
     Forward::recordFailure(m_environment.forward.book, sent.replica, failure, sent.sentAt, now);
     if (!m_request.finished) {
         carryOut(Forward::onFailure(m_request, m_environment.forward, attempt, failure, now), now);
     }
 }
 
+void request_task::learnVersion(const open_attempt &sent, bool failed, Core::time_point now)
+{
+    Forward::forward_context &context = m_environment.forward;
+    const auto rollout = context.rollouts.find(context.book.services[sent.replica.service]->name);
+    if (rollout == context.rollouts.end()) {
+        return;
+    }
+    const auto side = Forward::sideOf(rollout->second, Forward::replicaAt(context.book, sent.replica));
+    Forward::recordRolloutAnswer(rollout->second, side, m_request.plan.matched->name, failed, now - sent.sentAt,
+                                 m_environment.civilTime(now));
+}
+
 void request_task::learnLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now)
 {
     const auto load = parseLoad(reply[m_environment.names.load], now);
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -43,6 +43,8 @@
     void takeReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply, Core::time_point now);
     void takeFailure(std::uint32_t attempt, const open_attempt &sent, Forward::attempt_failure failure,
                      Core::time_point now);
+    /// Counts an answer or failure for the service's rollout, if there is one.
+    void learnVersion(const open_attempt &sent, bool failed, Core::time_point now);
     void learnLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now);
     void setWake(Core::time_point when);
     [[nodiscard]] std::string attemptTextAt(const std::string &instance, Core::time_point now) const;
