--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -88,11 +88,6 @@
     return m_states;
 }
 
-std::uint64_t feed_control::positionOf(const std::string &kind) const
-{
-    return m_states.at(kind).position;
-}
-
 bool feed_control::isComplete() const
 {
     return m_complete;
@@ -108,12 +103,10 @@
         }
         for (const feed_entry &entry : applyNews(state->second, kind)) {
             isNews = true;
-            if (!entry.deleted) {
-                m_newest = std::max(m_newest, entry.revision);
-            }
             m_hooks.onEntry(kind.kind, entry);
         }
     }
+    m_newest = knowledgeNumber(m_states);
     const bool allKnown =
         std::all_of(m_states.begin(), m_states.end(), [](const auto &state) { return state.second.position > 0; });
     if (allKnown && !m_complete) {
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -22,7 +22,7 @@
 public:
     /// What the owner does.
     struct callbacks {
-        std::function<void()> startDirect; ///< Watch every kind at the store, from the known positions.
+        std::function<void()> startDirect; ///< Watch every kind at the store.
         std::function<void()> stopDirect;
         std::function<void()> refresh; ///< List every kind anew.
         std::function<void(const std::string &kind, const feed_entry &)> onEntry;
@@ -40,7 +40,6 @@
     /// Decides anew; to be called in each round of the exchange.
     void decide(Core::time_point now);
 
-    [[nodiscard]] std::uint64_t positionOf(const std::string &kind) const;
     [[nodiscard]] bool isComplete() const;
     [[nodiscard]] feed_server &server();
     [[nodiscard]] const feed_server::states &states() const;
@@ -61,7 +60,7 @@
     feed_role m_role;
     Core::random_engine m_random;
     std::optional<Core::time_point> m_storeLostSince;
-    std::uint64_t m_newest = 0; ///< The highest revision of an object that was there.
+    std::uint64_t m_newest = 0; ///< As knowledgeNumber() says; announced to peers.
     bool m_isSeed; ///< New daemons turn to this one.
     bool m_direct = false;
     bool m_complete = false;
--- a/Libraries/LibExchange/FeedEvents.cpp
+++ b/Libraries/LibExchange/FeedEvents.cpp
@@ -46,6 +46,9 @@
         return changed;
     }
     const auto take = [&](feed_entry entry) {
+        if (!entry.deleted) {
+            state.newestPresent = std::max(state.newestPresent, entry.revision);
+        }
         if (!sameContent(state, entry)) {
             changed.push_back(entry);
             state.entries[entry.name] = std::move(entry);
@@ -72,6 +75,15 @@
     return changed;
 }
 
+std::uint64_t knowledgeNumber(const std::map<std::string, feed_state> &states)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[kind, state] : states) {
+        sum += state.newestPresent;
+    }
+    return sum;
+}
+
 feed_kind newsAfter(const feed_state &state, const std::string &kind, std::uint64_t position)
 {
     feed_kind news {kind, state.position, position == 0 || position < state.completeAfter, {}};
--- a/Libraries/LibExchange/FeedEvents.h
+++ b/Libraries/LibExchange/FeedEvents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,10 @@
 /// changes nothing.
 [[nodiscard]] std::vector<feed_entry> applyNews(feed_state &state, const feed_kind &news);
 
+/// A number that grows with everything that a daemon learns of entries that are there, the same at all daemons that
+/// know the same. A sum, since the newest revision of one kind would hide that another kind lags.
+[[nodiscard]] std::uint64_t knowledgeNumber(const std::map<std::string, feed_state> &states);
+
 /// What a daemon that knows the kind up to `position` lacks.
 [[nodiscard]] feed_kind newsAfter(const feed_state &state, const std::string &kind, std::uint64_t position);
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedState.h
+++ b/Libraries/LibExchange/FeedState.h
@@ -12,6 +12,7 @@
 struct feed_state {
     std::map<std::string, feed_entry> entries; ///< By name; deleted ones are kept for a while.
     std::uint64_t position = 0; ///< 0: nothing is known yet.
+    std::uint64_t newestPresent = 0; ///< The highest revision of an entry that was there.
     std::uint64_t completeAfter = 0; ///< Deletions up to here may have been forgotten.
 };
 } // namespace Exchange
--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -15,6 +15,7 @@
 static constexpr Core::duration coldWindow = 1s; ///< Allowances of cold replicas are stated per second.
 /// A sliding second can hold the requests of two counted ones, so each daemon sends half of its part.
 static constexpr double coldPart = 0.5;
+static constexpr unsigned failuresOfTheDead = 3; ///< Single failures are common where connections are spoiled.
 static constexpr double scoreJitter = 0.05; ///< Spreads daemons over replicas that look alike.
 
 static bool coldAllows(const replica_book &book, const replica_state &replica, const service_policy *policy,
@@ -56,6 +57,11 @@
     return now < replica.avoidUntil;
 }
 
+bool seemsDead(const replica_state &replica, Core::time_point now)
+{
+    return isAvoided(replica, now) && replica.consecutiveFailures >= failuresOfTheDead;
+}
+
 std::optional<std::size_t> chooseReplica(const replica_book &book, std::size_t service, const choice_filter &filter,
                                          Core::time_point now, Core::random_engine &random)
 {
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -86,7 +86,13 @@
     request.finished = true;
     if (request.counted) {
         const bool inTime = verdict == request_verdict::Answered && now <= request.plan.answerBy + lateTolerance;
-        recordEnd(limitOf(request, context), inTime, now);
+        const bool lacksReplicas = std::any_of(request.parts.begin(), request.parts.end(),
+                                               [](const part_state &part) { return part.sends == 0; });
+        if (!inTime && lacksReplicas) {
+            recordLeft(limitOf(request, context)); // Late for want of replicas, not of room.
+        } else {
+            recordEnd(limitOf(request, context), inTime, now);
+        }
     }
     effects.finished = verdict;
     effects.wakeAt.reset();
@@ -170,7 +176,9 @@
         const std::size_t service = request.plan.services[index];
         recordFirst(context.book.services[service]->repeats, context.book.repeatLimits, now);
         const std::optional<std::size_t> replica = chooseFor(request, part, context, service, now);
-        if (!replica) {
+        const bool isHopeless = replica && seemsDead(context.book.services[service]->replicas[*replica], now)
+            && request.openParts > request.plan.neededParts;
+        if (!replica || isHopeless) {
             closePart(request, part, effects);
             continue;
         }
--- a/Libraries/LibMembership/Gossip.cpp
+++ b/Libraries/LibMembership/Gossip.cpp
@@ -154,8 +154,7 @@
     // A new daemon has to learn of the whole fleet first.
     const bool isNew = table.round < static_cast<std::uint64_t>(settings.quickRounds);
     const bool isFar = isNew || table.round % static_cast<std::uint64_t>(settings.farPart) == 0;
-    std::vector<std::string> live
-        = liveAddresses(table, settings, isFar ? reach::Anywhere : reach::OwnDataCentre, now);
+    std::vector<std::string> live = liveAddresses(table, settings, isFar ? reach::Anywhere : reach::OwnDataCentre, now);
     if (live.empty()) {
         live = liveAddresses(table, settings, reach::Anywhere, now);
     }
--- a/Tests/LibExchange/TestFeed.cpp
+++ b/Tests/LibExchange/TestFeed.cpp
@@ -102,3 +102,21 @@
         (void)Exchange::decodeFeed(spoiled); // Must return, whatever the bytes are.
     }
 }
+
+/// Pattern: one kind's watch hears nothing while another kind's goes on. What the daemon announces must show that it
+/// lags.
+TEST(Feed, KnowledgeNumberShowsOneKindThatLags)
+{
+    std::map<std::string, Exchange::feed_state> upToDate;
+    std::map<std::string, Exchange::feed_state> lagging;
+    for (auto *states : {&upToDate, &lagging}) {
+        (void)Exchange::applyNews((*states)["one"], whole(7, {{"a", 7, false, "old"}}));
+        (void)Exchange::applyNews((*states)["two"], whole(83, {{"b", 83, false, "b"}}));
+    }
+    EXPECT_EQ(Exchange::knowledgeNumber(upToDate), Exchange::knowledgeNumber(lagging));
+    (void)Exchange::applyNews(upToDate["one"], changes(67, {{"a", 67, false, "new"}}));
+    EXPECT_GT(Exchange::knowledgeNumber(upToDate), Exchange::knowledgeNumber(lagging));
+    const std::uint64_t before = Exchange::knowledgeNumber(upToDate);
+    (void)Exchange::applyNews(upToDate["one"], changes(90, {{"a", 90, true, ""}}));
+    EXPECT_EQ(Exchange::knowledgeNumber(upToDate), before) << "it must never fall";
+}
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -208,3 +208,60 @@
     start(Fixtures::singleConfiguration(Forward::repeat_policy::Idempotent), 1h);
     EXPECT_LE(m_request.plan.giveUpAt - m_now, 4000ms);
 }
+
+/// Pattern: all replicas of a shard are dark. Once that shows, the others' answers are not held back for it.
+TEST_F(request_events_test, ShardWhoseReplicasSeemDeadIsNotWaitedFor)
+{
+    addReplicas(10);
+    for (std::size_t replica = 0; replica < 3; ++replica) {
+        for (int failure = 0; failure < 3; ++failure) {
+            Forward::recordSent(m_context.book, {4, replica}, m_now);
+            Forward::recordFailure(m_context.book, {4, replica}, attempt_failure::Silent, m_now, m_now);
+        }
+    }
+    const auto started = start(Fixtures::gatheringConfiguration(10, 0.89), 1200ms);
+    ASSERT_EQ(started.sends.size(), 9U);
+    m_now += 20ms;
+    Forward::request_effects last;
+    for (const Forward::send_attempt &sent : started.sends) {
+        last = answer(sent.attempt);
+    }
+    EXPECT_EQ(last.finished, request_verdict::Answered);
+    // They are tried again after a while.
+    m_now += 10s;
+    m_request = {};
+    EXPECT_EQ(start(Fixtures::gatheringConfiguration(10, 0.89), 1200ms).sends.size(), 10U);
+}
+
+/// Where the route needs every shard, the dead ones are asked all the same: one of them may be back.
+TEST_F(request_events_test, NeededShardIsAskedAlsoWhereItsReplicasSeemDead)
+{
+    addReplicas(2);
+    for (std::size_t replica = 0; replica < 3; ++replica) {
+        for (int failure = 0; failure < 3; ++failure) {
+            Forward::recordSent(m_context.book, {0, replica}, m_now);
+            Forward::recordFailure(m_context.book, {0, replica}, attempt_failure::Silent, m_now, m_now);
+        }
+    }
+    EXPECT_EQ(start(Fixtures::gatheringConfiguration(2, 1.0), 1200ms).sends.size(), 2U);
+}
+
+/// Pattern: a shard is lost whole for seconds. Lateness for want of its replicas must not shrink the load limit.
+TEST_F(request_events_test, LatenessForWantOfReplicasIsNoLoad)
+{
+    addReplicas(10);
+    for (const char *id : {"s3-a", "s3-b", "s3-c"}) {
+        Forward::removeEntry(m_context.book, id);
+    }
+    for (int round = 0; round < 200; ++round) {
+        m_request = {};
+        const auto started = start(Fixtures::gatheringConfiguration(10, 0.89), 1200ms);
+        ASSERT_EQ(started.sends.size(), 9U) << "refused in round " << round;
+        m_now += 200ms;
+        for (const Forward::send_attempt &sent : started.sends) {
+            Forward::recordAnswer(m_context.book, sent.replica, m_now - 200ms, m_now);
+            (void)answer(sent.attempt);
+        }
+        EXPECT_TRUE(m_request.finished);
+    }
+}
