platform, LibExchange: Give each type its header and split the daemon by job

No change in behaviour: types out of DatagramCodec.h, FeedRole.h, Departures.h and two test headers; what a daemon does with entries and how it stops in files of their own. The unit tests of the touched packages pass.

--- /dev/null
+++ b/Libraries/LibExchange/Datagram.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "LibExchange/DatagramKind.h"
+#include "LibMembership/GossipMessage.h"
+
+namespace Exchange
+{
+/// One datagram, decoded.
+struct datagram {
+    datagram_kind kind = datagram_kind::Round;
+    Membership::gossip_message message;
+};
+} // namespace Exchange
--- a/Libraries/LibExchange/FeedRole.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -1,4 +1,7 @@
+#include "LibExchange/DecideFeed.h"
+
 #include "LibExchange/FeedRole.h"
+#include "LibExchange/FeedView.h"
 
 #include <algorithm>
 
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -1,6 +1,8 @@
 #include "LibExchange/FeedControl.h"
 
+#include "LibExchange/DecideFeed.h"
 #include "LibExchange/FeedEvents.h"
+#include "LibExchange/FeedView.h"
 #include "LibExchange/PeerExchange.h"
 
 #include "LibFront/DecisionLog.h"
--- a/Libraries/LibForward/Departures.h
+++ b/Libraries/LibForward/Departures.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibForward/MissingCause.h"
 
 #include <map>
 #include <string>
@@ -8,12 +9,6 @@
 
 namespace Forward
 {
-/// Why a replica's registration is missing.
-enum class missing_cause {
-    Removed, ///< The store says so.
-    Doubted, ///< The store was away or has dropped its history; a replica that lives registers again soon.
-};
-
 /// Replicas whose registration is missing, each with the time from which it counts as gone.
 struct departures {
     std::map<std::string, Core::time_point> goneAt;
--- a/Tests/LibExchange/TestFeedRole.cpp
+++ b/Tests/LibExchange/TestFeedRole.cpp
@@ -1,4 +1,6 @@
+#include "LibExchange/DecideFeed.h"
 #include "LibExchange/FeedRole.h"
+#include "LibExchange/FeedView.h"
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibForward/SimulatedReplica.h
+++ b/Tests/LibForward/SimulatedReplica.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Arrival.h"
+
 #include "LibCore/Time.h"
 
 #include <cstdint>
@@ -8,13 +10,6 @@
 
 namespace Simulation
 {
-/// One request at a replica.
-struct arrival {
-    std::size_t request = 0;
-    std::uint32_t attempt = 0;
-    Core::time_point sentAt;
-};
-
 /// A replica on virtual time: a few slots, a queue, and troubles.
 struct simulated_replica {
     unsigned slots = 2;
--- a/Tests/LibFront/TestCallerConnection.cpp
+++ b/Tests/LibFront/TestCallerConnection.cpp
@@ -1,5 +1,5 @@
 #include "Support/LoopFixture.h"
-#include "Support/RawPeer.h"
+#include "Support/RawServer.h"
 
 #include "LibFront/HttpServer.h"
 
--- a/Tests/platform/StandInStore.h
+++ b/Tests/platform/StandInStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Support/RawPeer.h"
+#include "Support/RawServer.h"
 
 #include <map>
 #include <string>
