--- a/Libraries/LibExchange/FeedFollower.cpp
+++ b/Libraries/LibExchange/FeedFollower.cpp
@@ -65,6 +65,9 @@
 
 void feed_follower::ask()
 {
+    if (m_channel && m_channel->isBusy()) {
+        return; // The source was changed meanwhile, and the new one is asked already.
+    }
     const Core::time_point now = std::chrono::steady_clock::now();
     std::optional<std::string> chosen;
     for (const std::string &source : m_hooks.sources()) {
