LibForward: Doubt every missing registration for as long as its replica drains

Ruled out: the store's readers failing over (no store_lost line), the feed (the watcher itself took it). Change: every missing registration is doubted until it would be back (2.3 s), but 0.8 s less than the drain time, in which a replica that left without a word serves on; the replica is chosen only where the others have long queues.

--- a/Libraries/LibForward/Departures.cpp
+++ b/Libraries/LibForward/Departures.cpp
@@ -1,9 +1,21 @@
 #include "LibForward/Departures.h"
 
+#include <algorithm>
+
 namespace Forward
 {
-Core::time_point recordMissing(departures &pending, const std::string &id, Core::duration doubt, Core::time_point now)
+using namespace std::chrono_literals;
+
+/// Live replicas have registered again within 2 s of the store's return; the rest is the way of that news.
+static constexpr Core::duration returnTime = 2300ms;
+/// Between the removal and the last request that still reaches the replica: the news comes here, a request goes there.
+static constexpr Core::duration newsTime = 800ms;
+
+Core::time_point recordMissing(departures &pending, const std::string &id, Core::duration outageDoubt,
+                               Core::time_point now)
 {
+    const Core::duration served = std::max<Core::duration>(pending.drainTime - newsTime, 0ms);
+    const Core::duration doubt = std::max(outageDoubt, std::min(returnTime, served));
     return pending.goneAt.try_emplace(id, now + doubt).first->second;
 }
 
--- a/Libraries/LibForward/ExpectedLatency.cpp
+++ b/Libraries/LibForward/ExpectedLatency.cpp
@@ -17,6 +17,8 @@
 static constexpr Core::real_seconds stuckPenalty = 120ms; ///< What is left of a pause, on average, and its queue.
 static constexpr Core::real_seconds errorPenalty = 400ms; ///< At an error rate of 1: a failed answer and a repeat.
 static constexpr Core::real_seconds avoidPenalty = 2s; ///< Puts avoided replicas behind all others.
+/// Several work times: the registered replicas of the service go first unless they have long queues.
+static constexpr Core::real_seconds missingPenalty = 50ms;
 static constexpr double coldFactor = 1.6; ///< Cold replicas take about so many times as long.
 
 Core::duration wayThereAndBack(locality distance)
@@ -82,6 +84,9 @@
         expected += stuckPenalty;
     }
     expected += errorPenalty * fadedErrorRate(replica, now);
+    if (replica.missing) {
+        expected += missingPenalty;
+    }
     if (now < replica.avoidUntil) {
         expected += avoidPenalty;
     }
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -68,6 +68,7 @@
         if (sameStart) {
             replica.entry = entry;
             replica.coldUntil = now + entry.coldFor;
+            replica.missing = false;
             return std::nullopt;
         }
         replica.gone = true;
@@ -81,6 +82,13 @@
     return place;
 }
 
+void markMissing(replica_book &book, const std::string &id)
+{
+    if (const std::optional<replica_key> known = findReplica(book, id)) {
+        replicaAt(book, *known).missing = true;
+    }
+}
+
 std::optional<replica_key> removeEntry(replica_book &book, const std::string &id)
 {
     const std::optional<replica_key> known = findReplica(book, id);
--- a/Libraries/LibForward/ReplicaList.h
+++ b/Libraries/LibForward/ReplicaList.h
@@ -23,6 +23,9 @@
 /// dropped.
 std::optional<replica_key> applyEntry(replica_book &book, const replica_entry &entry, Core::time_point now);
 
+/// Takes it that a registration is missing: the replica is chosen only where no other one serves well.
+void markMissing(replica_book &book, const std::string &id);
+
 /// Takes the end of a registration. Returns the replica's place if it was known.
 std::optional<replica_key> removeEntry(replica_book &book, const std::string &id);
 
--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -15,6 +15,7 @@
 struct replica_state {
     replica_entry entry;
     locality distance = locality::OtherRegion;
+    bool missing = false; ///< Its registration was removed, but it is not taken as gone yet.
     bool gone = false; ///< No longer registered; kept while requests are outstanding so that indices stay valid.
     Core::time_point coldUntil;
     boost::container::small_vector<Core::time_point, 4> outstanding; ///< Send times of open requests, oldest first.
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -83,6 +83,19 @@
     EXPECT_EQ(choose(), "none");
 }
 
+/// A registration that lapsed says little about its replica, so others go first; where all lapsed, all serve on.
+TEST_F(choose_replica_test, MissingReplicasServeWhereNoOtherDoes)
+{
+    Forward::markMissing(m_context.book, "r-a");
+    EXPECT_NE(choose(), "r-a");
+    Forward::markMissing(m_context.book, "r-b");
+    Forward::markMissing(m_context.book, "r-c");
+    EXPECT_EQ(choose(), "r-a");
+    Forward::markMissing(m_context.book, "unknown");
+    Forward::applyEntry(m_context.book, Fixtures::replicaEntry("r-c", "s0", "c"), m_now);
+    EXPECT_EQ(choose(), "r-c");
+}
+
 TEST_F(choose_replica_test, OnlyAllowedRegionsServe)
 {
     const std::vector<std::string> regions {"rc"};
