Tests: Reproduce the switch of a feed's source between a refusal and the next question

Cause of the open finding (a daemon that ended with "invariant does not hold: !isBusy()"): the refusal asks the next source from a timer, and a switch of the source in between has asked it already. The platform's tests get a stand-in store that writes, watches and loses answers; two tests play a rollout to its end against the real daemon (good: completed, with answers of the store lost; taken back: stays so).

--- a/Tests/LibExchange/TestFeedFollower.cpp
+++ b/Tests/LibExchange/TestFeedFollower.cpp
@@ -31,23 +31,26 @@
         return addresses;
     }
 
+    Exchange::feed_follower::callbacks hooks()
+    {
+        return {.positions =
+                    []() {
+                        return std::map<std::string, std::uint64_t> {{"k", 1}};
+                    },
+                .sources = [this]() { return sources(); },
+                .onNews = [](const std::vector<Exchange::feed_kind> &) {},
+                .onNoSource =
+                    [this]() {
+                        ++m_gaveUp;
+                    }};
+    }
+
     std::list<raw_server> m_servers;
     int m_refusals = 0;
     int m_gaveUp = 0;
     Front::decision_log m_log {"test"};
-    Exchange::feed_follower m_follower {m_loop,
-                                        m_timers,
-                                        m_log,
-                                        {.positions =
-                                             []() {
-                                                 return std::map<std::string, std::uint64_t> {{"k", 1}};
-                                             },
-                                         .sources = [this]() { return sources(); },
-                                         .onNews = [](const std::vector<Exchange::feed_kind> &) {},
-                                         .onNoSource =
-                                             [this]() {
-                                                 ++m_gaveUp;
-                                             }}};
+    std::list<Exchange::feed_follower> m_several; ///< Of a test that starts several; they live as long as the timers.
+    Exchange::feed_follower m_follower {m_loop, m_timers, m_log, hooks()};
 };
 } // namespace
 
@@ -58,3 +61,22 @@
     EXPECT_EQ(m_refusals, 8);
     EXPECT_FALSE(m_follower.isFollowing());
 }
+
+/// A source refuses, and before the follower turns to the next one, its owner switches the source for lag. The new
+/// source has its question already then, and must not get a second one on the same connection. After which handler of
+/// the loop that is depends on the loop, so a switch is tried after each of the first ones.
+TEST_F(feed_follower_test, SwitchBetweenARefusalAndTheNextQuestionAsksOnce)
+{
+    constexpr int mostHandlers = 60; // The eight sources take fewer.
+    for (int handlers = 0; handlers <= mostHandlers; ++handlers) {
+        const int gaveUpBefore = m_gaveUp;
+        Exchange::feed_follower &follower = m_several.emplace_back(m_loop, m_timers, m_log, hooks());
+        follower.start();
+        m_loop.restart();
+        for (int handler = 0; handler < handlers && follower.isFollowing(); ++handler) {
+            m_loop.run_one_for(std::chrono::milliseconds(5));
+        }
+        follower.switchSource();
+        EXPECT_TRUE(runUntil([&]() { return m_gaveUp > gaveUpBefore; })) << handlers;
+    }
+}
--- a/Tests/Support/RawConnection.h
+++ b/Tests/Support/RawConnection.h
@@ -32,9 +32,12 @@
                                });
     }
 
+    /// Sends all bytes. A peer that is gone by now shows in `ended`.
     void send(const std::string &bytes)
     {
-        boost::asio::write(socket, boost::asio::buffer(bytes));
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(bytes), error);
+        ended = ended || error;
     }
 
     /// Ends the connection in order.
@@ -45,8 +48,9 @@
 
     void reset()
     {
-        socket.set_option(boost::asio::socket_base::linger(true, 0));
-        socket.close();
+        boost::system::error_code ignored; // The peer may have ended it already.
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
     }
 
     boost::asio::ip::tcp::socket socket;
--- /dev/null
+++ b/Tests/platform/ObjectStore.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "StoreTrouble.h"
+#include "Support/RawServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// A stand-in for the platform's store: lists, watches, conditional writes, and the troubles that a test sets.
+class object_store
+{
+public:
+    explicit object_store(boost::asio::io_context &loop);
+
+    /// Puts an object in, or replaces its content, as the operator or a replica would.
+    void put(const std::string &kind, const std::string &name, const boost::json::value &spec);
+    void putText(const std::string &kind, const std::string &name, std::string_view spec);
+    void putStatus(const std::string &kind, const std::string &name, const boost::json::value &status);
+    void remove(const std::string &kind, const std::string &name);
+    /// The object as the store would send it; null if there is none.
+    [[nodiscard]] const boost::json::object *find(const std::string &kind, const std::string &name) const;
+    /// Forgets what has changed so far: watches from before are told so.
+    void dropHistory();
+    void setTrouble(store_trouble trouble);
+
+    [[nodiscard]] std::string address() const;
+    [[nodiscard]] std::uint16_t port() const;
+    /// Calls of the given method, executed or not.
+    [[nodiscard]] std::size_t callCount(const std::string &method) const;
+
+private:
+    struct event {
+        std::uint64_t revision = 0;
+        std::string kind;
+        boost::json::object content;
+    };
+    struct waiting_watch {
+        std::weak_ptr<raw_connection> peer;
+        std::string kind;
+        std::uint64_t after = 0;
+        std::chrono::steady_clock::time_point until;
+    };
+    struct call {
+        std::string method;
+        std::string kind;
+        std::string name;
+        bool isStatus = false; ///< The path ends with the part for an object's status.
+        std::map<std::string, std::string> query;
+        boost::json::object body;
+    };
+
+    void onBytes(raw_connection &peer);
+    void carryOut(raw_connection &peer, const call &request);
+    void list(raw_connection &peer, const call &request);
+    void watch(raw_connection &peer, const call &request);
+    void write(raw_connection &peer, const call &request);
+    void note(const std::string &kind, const boost::json::object &object, bool deleted);
+    [[nodiscard]] std::string eventsAfter(const std::string &kind, std::uint64_t after) const;
+    void answerWatches();
+    void tick();
+    static call parse(const std::string &text);
+
+    std::map<std::string, std::map<std::string, boost::json::object>> m_objects; ///< By kind and name.
+    std::vector<event> m_history;
+    std::uint64_t m_revision = 10;
+    std::uint64_t m_historyFrom = 0; ///< Watches from before this revision are told that the history is gone.
+    std::vector<waiting_watch> m_watches;
+    std::map<std::string, std::size_t> m_calls;
+    store_trouble m_trouble = store_trouble::None;
+    boost::asio::steady_timer m_timer;
+    raw_server m_server;
+};
--- a/Tests/platform/TestDaemon.cpp
+++ b/Tests/platform/TestDaemon.cpp
@@ -1,5 +1,5 @@
 #include "DaemonProcess.h"
-#include "StandInStore.h"
+#include "ObjectStore.h"
 #include "Support/LoopFixture.h"
 
 #include <boost/json/object.hpp>
@@ -41,12 +41,13 @@
         m_peers = freePort();
     }
 
-    void addReplica(const std::string &id, const std::string &service, const raw_server &server)
+    void addReplica(const std::string &id, const std::string &service, const raw_server &server,
+                    const std::string &version = "v1")
     {
-        m_store.put("servers", id,
+        m_store.putText("servers", id,
                     R"({"backend": ")" + service + R"(", "address": "127.0.0.1:)"
-                        + std::to_string(server.address().port())
-                        + R"(", "zone": "z1", "version": "v1", "max-concurrency": 2, "state": "ready",
+                        + std::to_string(server.address().port()) + R"(", "zone": "z1", "version": ")" + version
+                        + R"(", "max-concurrency": 2, "state": "ready",
                             "warmup-left-ms": 0, "sequence": 1, "born": 1})");
     }
 
@@ -105,6 +106,14 @@
         return runUntil([this]() { return ask(m_ready, "GET /api/ready").starts_with("HTTP/1.1 200"); });
     }
 
+    /// The state of the rollout of service a as the store has it; empty if nobody wrote one.
+    std::string rolloutState()
+    {
+        const boost::json::object *order = m_store.find("rollouts", "a");
+        const bool isWritten = order != nullptr && order->contains("status");
+        return isWritten ? std::string(order->at("status").at("state").as_string()) : std::string();
+    }
+
     static raw_server::script answering(const std::string &digest, const std::string &body)
     {
         return [=](raw_connection &peer) {
@@ -121,7 +130,7 @@
     int m_directory = 0;
     int m_control = 0;
     int m_peers = 0;
-    stand_in_store m_store {m_loop};
+    object_store m_store {m_loop};
     std::unique_ptr<daemon_process> m_daemon;
 };
 } // namespace
@@ -130,7 +139,7 @@
 {
     raw_server first(m_loop, answering("digest-a", record('b') + record('d')));
     raw_server second(m_loop, answering("digest-b", record('c') + "rest"));
-    m_store.put("config", "main", configuration);
+    m_store.putText("config", "main", configuration);
     addReplica("i-a", "a", first);
     addReplica("i-b", "b", second);
     startDaemon();
@@ -157,7 +166,7 @@
 TEST_F(daemon_test, MissingShardIsNamedAsMissing)
 {
     raw_server first(m_loop, answering("digest-a", record('b')));
-    m_store.put("config", "main", configuration);
+    m_store.putText("config", "main", configuration);
     addReplica("i-a", "a", first);
     startDaemon();
     ASSERT_TRUE(becomesReady());
@@ -168,7 +177,7 @@
 
 TEST_F(daemon_test, RefusesAsNotRunWithoutAConfiguration)
 {
-    m_store.isDown = true;
+    m_store.setTrouble(store_trouble::Refusing);
     startDaemon();
     std::string answer;
     ASSERT_TRUE(runUntil([&]() {
@@ -186,7 +195,7 @@
 {
     raw_connection *asked = nullptr;
     raw_server slow(m_loop, [&](raw_connection &peer) { asked = &peer; });
-    m_store.put("config", "main", configuration);
+    m_store.putText("config", "main", configuration);
     addReplica("i-a", "a", slow);
     startDaemon();
     ASSERT_TRUE(becomesReady());
@@ -203,6 +212,46 @@
     EXPECT_EQ(m_daemon->exitStatus(), 0);
 }
 
+/// A short rollout of a good version: the end is written once, though answers of the store are lost meanwhile.
+TEST_F(daemon_test, GoodRolloutIsWrittenAsCompleted)
+{
+    raw_server before(m_loop, answering("digest-a", record('b')));
+    raw_server after(m_loop, answering("digest-a2", record('b')));
+    m_store.putText("config", "main", configuration);
+    addReplica("i-a", "a", before);
+    addReplica("i-a2", "a", after, "v2");
+    m_store.putText("rollouts", "a", R"({"backend": "a", "target-version": "v2", "duration-s": 3})");
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(runUntil([this]() { return rolloutState() == "running"; }));
+    m_store.setTrouble(store_trouble::LosingAnswers);
+    ASSERT_TRUE(runUntil([this]() { return rolloutState() == "completed"; }));
+    m_store.setTrouble(store_trouble::None);
+    const std::string passed = ask(m_front, "GET /s/1");
+    EXPECT_NE(passed.find("Server-Stamp: digest-a2"), std::string::npos) << passed;
+    runFor(2500ms); // Time for a second writer, if there were one.
+    EXPECT_EQ(rolloutState(), "completed");
+}
+
+/// What was written once holds: a daemon that starts later neither moves traffic nor writes another end.
+TEST_F(daemon_test, RolloutThatWasTakenBackStaysSo)
+{
+    raw_server before(m_loop, answering("digest-a", record('b')));
+    raw_server after(m_loop, answering("digest-a2", record('b')));
+    m_store.putText("config", "main", configuration);
+    addReplica("i-a", "a", before);
+    addReplica("i-a2", "a", after, "v2");
+    m_store.putText("rollouts", "a", R"({"backend": "a", "target-version": "v2", "duration-s": 1})");
+    m_store.putStatus("rollouts", "a", {{"state", "rolled_back"}, {"target-version", "v2"}});
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    runFor(2500ms);
+    EXPECT_EQ(rolloutState(), "rolled_back");
+    for (int request = 0; request < 20; ++request) {
+        EXPECT_NE(ask(m_front, "GET /s/1").find("Server-Stamp: digest-a\r\n"), std::string::npos);
+    }
+}
+
 TEST_F(daemon_test, FaultySettingsEndTheStart)
 {
     daemon_process faulty(R"({"node-name": 5})");
