--- a/Tests/platform/DaemonProcess.cpp
+++ b/Tests/platform/DaemonProcess.cpp
@@ -15,7 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-daemon_process::daemon_process(const std::string &settings)
+daemon_process::daemon_process(const std::string &settings, const std::string &outputPath)
 {
     char path[] = "/tmp/ragwortcrank-settings-XXXXXX";
     const int file = mkstemp(path);
@@ -31,7 +31,8 @@
     char *environment[] = {variable.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     const int failure = posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0) {
--- a/Tests/platform/DaemonProcess.h
+++ b/Tests/platform/DaemonProcess.h
@@ -10,8 +10,8 @@
 class daemon_process
 {
 public:
-    /// Starts the program with a settings file of the given text.
-    explicit daemon_process(const std::string &settings);
+    /// Starts the program with a settings file of the given text; its output is appended to a file.
+    explicit daemon_process(const std::string &settings, const std::string &outputPath = "/dev/null");
     ~daemon_process();
     daemon_process(const daemon_process &) = delete;
     daemon_process &operator=(const daemon_process &) = delete;
--- a/Tests/platform/TestDaemon.cpp
+++ b/Tests/platform/TestDaemon.cpp
@@ -45,9 +45,9 @@
                     const std::string &version = "v1")
     {
         m_store.putText("servers", id,
-                    R"({"backend": ")" + service + R"(", "address": "127.0.0.1:)"
-                        + std::to_string(server.address().port()) + R"(", "zone": "z1", "version": ")" + version
-                        + R"(", "max-concurrency": 2, "state": "ready",
+                        R"({"backend": ")" + service + R"(", "address": "127.0.0.1:)"
+                            + std::to_string(server.address().port()) + R"(", "zone": "z1", "version": ")" + version
+                            + R"(", "max-concurrency": 2, "state": "ready",
                             "warmup-left-ms": 0, "sequence": 1, "born": 1})");
     }
 
