LibFront: Serve latencies as histograms that only grow

Cause: the metrics address showed the fading buckets by which hedges are timed, without sums: rates over them mean nothing to a monitoring system, and no histogram told how long callers waited. Change: counts by fixed edges for requests and attempts.

--- a/Libraries/LibFront/FrontCounters.h
+++ b/Libraries/LibFront/FrontCounters.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "LibFront/LatencyCounters.h"
+
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace Front
 {
@@ -18,5 +22,7 @@
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t attempts = 0;
+    std::map<std::string, latency_counters> answerTimes; ///< Of answered requests, by route.
+    std::map<std::string, latency_counters> attemptTimes; ///< Of replicas' good answers, by route.
 };
 } // namespace Front
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -25,22 +25,27 @@
     text += "ragwortcrank_" + std::string(name) + " " + number + "\n";
 }
 
-static void addHistogram(std::string &text, const std::string &route, const Forward::latency_histogram &histogram)
+static void addHistogram(std::string &text, const std::string &name, std::string_view help,
+                         const std::map<std::string, latency_counters> &byRoute)
 {
-    std::uint64_t below = 0;
-    for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
-        below += histogram.counts[bucket];
-        if (histogram.counts[bucket] == 0) {
-            continue; // Empty buckets say nothing that their neighbours do not.
+    text += "# HELP ragwortcrank_" + name + " " + std::string(help) + "\n";
+    text += "# TYPE ragwortcrank_" + name + " histogram\n";
+    for (const auto &[route, counters] : byRoute) {
+        const std::string label = "{route=\"" + route + "\"";
+        std::uint64_t below = 0;
+        char number[32];
+        for (std::size_t index = 0; index < latency_counters::edges.size(); ++index) {
+            below += counters.counts[index];
+            std::snprintf(number, sizeof(number), "%g", Core::toSeconds(latency_counters::edges[index]));
+            text +=
+                "ragwortcrank_" + name + "_bucket" + label + ",le=\"" + number + "\"} " + std::to_string(below) + "\n";
         }
-        char line[160];
-        std::snprintf(line, sizeof(line), "ragwortcrank_attempt_seconds_bucket{route=\"%s\",le=\"%g\"} %llu\n",
-                      route.c_str(), Core::toSeconds(Forward::upperEdge(bucket)),
-                      static_cast<unsigned long long>(below));
-        text += line;
+        below += counters.counts.back();
+        std::snprintf(number, sizeof(number), "%.6f", Core::toSeconds(counters.sum));
+        text += "ragwortcrank_" + name + "_bucket" + label + ",le=\"+Inf\"} " + std::to_string(below) + "\n";
+        text += "ragwortcrank_" + name + "_sum" + label + "} " + number + "\n";
+        text += "ragwortcrank_" + name + "_count" + label + "} " + std::to_string(below) + "\n";
     }
-    text += "ragwortcrank_attempt_seconds_bucket{route=\"" + route + "\",le=\"+Inf\"} " + std::to_string(below) + "\n";
-    text += "ragwortcrank_attempt_seconds_count{route=\"" + route + "\"} " + std::to_string(below) + "\n";
 }
 
 std::string metricsText(const front_environment &environment)
@@ -64,11 +69,8 @@
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
     addGauge(text, "daemons", "Live daemons that share limits, this one included.",
              static_cast<double>(environment.forward.book.daemons));
-    text += "# HELP ragwortcrank_attempt_seconds Recent answer times of first attempts; old ones fade.\n";
-    text += "# TYPE ragwortcrank_attempt_seconds histogram\n";
-    for (const auto &[route, histogram] : environment.forward.routeLatencies) {
-        addHistogram(text, route, histogram);
-    }
+    addHistogram(text, "request_seconds", "From a request's arrival to its answer.", counters.answerTimes);
+    addHistogram(text, "attempt_seconds", "From sending to a replica to its good answer.", counters.attemptTimes);
     return text;
 }
 } // namespace Front
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -124,6 +124,7 @@
         return;
     }
     learnVersion(sent, false, now);
+    countLatency(m_environment.counters.attemptTimes[m_request.plan.matched->name], now - sent.sentAt);
     Forward::recordAnswer(m_environment.forward.book, sent.replica, sent.sentAt, now);
     if (m_request.finished) {
         return;
@@ -300,6 +301,7 @@
         ++counters.answered;
         counters.answeredLate += late ? 1 : 0;
         counters.answeredPartly += missing > 0 ? 1 : 0;
+        countLatency(counters.answerTimes[m_request.plan.matched->name], took);
         break;
     case Forward::request_verdict::NotRun:
         ++counters.notRun;
--- a/Tests/platform/DaemonProcess.cpp
+++ b/Tests/platform/DaemonProcess.cpp
@@ -54,6 +54,11 @@
     kill(m_process, number);
 }
 
+void daemon_process::rewriteSettings(const std::string &settings) const
+{
+    std::ofstream(m_settingsPath) << settings;
+}
+
 std::optional<int> daemon_process::exitStatus()
 {
     int status = 0;
--- a/Tests/platform/DaemonProcess.h
+++ b/Tests/platform/DaemonProcess.h
@@ -17,6 +17,8 @@
     daemon_process &operator=(const daemon_process &) = delete;
 
     void signal(int number) const;
+    /// Replaces the settings file, as the platform does; the process is not told.
+    void rewriteSettings(const std::string &settings) const;
     /// The exit status once the process has ended; nothing while it runs.
     [[nodiscard]] std::optional<int> exitStatus();
 
--- a/Tests/platform/TestDaemon.cpp
+++ b/Tests/platform/TestDaemon.cpp
@@ -5,7 +5,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <map>
 
 using namespace std::chrono_literals;
 
@@ -51,12 +53,13 @@
                             "warmup-left-ms": 0, "sequence": 1, "born": 1})");
     }
 
-    void startDaemon()
+    /// The settings file's text, with the time for which the directory's answers hold.
+    std::string settingsText(int entrySeconds) const
     {
         const auto at = [](int port) {
             return "127.0.0.1:" + std::to_string(port);
         };
-        m_daemon = std::make_unique<daemon_process>(boost::json::serialize(boost::json::object {
+        return boost::json::serialize(boost::json::object {
             {"node-name", "front-1"},
             {"ip", "127.0.0.1"},
             {"zone", "z1"},
@@ -69,9 +72,21 @@
               {"control", at(m_control)}}},
             {"port-range", {m_peers, m_peers}},
             {"seeds", {at(m_control)}},
-            {"bounds", {{"grace-s", 2}, {"ttl_max_s", 1}}},
+            {"bounds", {{"grace-s", 4}, {"ttl_max_s", entrySeconds}, {"retry-budget-slack", 20}}},
             {"platform", {{"address", m_store.address()}}},
-        }));
+        });
+    }
+
+    void startDaemon()
+    {
+        m_daemon = std::make_unique<daemon_process>(settingsText(1));
+    }
+
+    bool directoryHoldsFor(int seconds)
+    {
+        const std::string wanted = R"("ttl_s":)" + std::to_string(seconds) + "}";
+        return runUntil(
+            [&]() { return ask(m_directory, "GET /api/resolve?name=h.example&region=r1&zone=z1").ends_with(wanted); });
     }
 
     /// Connects to one of the daemon's ports; nothing if nobody listens there.
@@ -88,6 +103,12 @@
         return caller;
     }
 
+    void runAfter(std::chrono::milliseconds delay, std::function<void()> work)
+    {
+        m_timers.schedule(std::chrono::steady_clock::now() + delay,
+                          [work = std::move(work)](Core::time_point) { work(); });
+    }
+
     /// The whole answer to one request on a connection of its own; empty if there is none.
     std::string ask(int port, const std::string &request)
     {
@@ -159,7 +180,10 @@
     const std::string named = ask(m_directory, "GET /api/resolve?name=h.example&region=r1&zone=z1");
     EXPECT_NE(named.find(R"({"addrs":["127.0.0.1:)" + std::to_string(m_front) + R"("],"ttl_s":1})"), std::string::npos)
         << named;
-    EXPECT_NE(ask(m_control, "GET /metrics").find("ragwortcrank_answered_total 2"), std::string::npos);
+    const std::string metrics = ask(m_control, "GET /metrics");
+    EXPECT_NE(metrics.find("ragwortcrank_answered_total 2"), std::string::npos);
+    EXPECT_NE(metrics.find("ragwortcrank_request_seconds_count{route=\"g\"} 1"), std::string::npos) << metrics;
+    EXPECT_NE(metrics.find("ragwortcrank_attempt_seconds_bucket{route=\"g\",le=\"+Inf\"} 2"), std::string::npos);
 }
 
 /// One shard has no replica: the answer says so and is not refused, since the route allows half.
@@ -252,6 +276,118 @@
     }
 }
 
+TEST_F(daemon_test, ChangedSettingsAreTakenUpWithAndWithoutASignal)
+{
+    m_store.putText("config", "main", configuration);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(directoryHoldsFor(1));
+    m_daemon->rewriteSettings(settingsText(2));
+    m_daemon->signal(SIGHUP);
+    EXPECT_TRUE(directoryHoldsFor(2));
+    m_daemon->rewriteSettings("{ broken");
+    m_daemon->signal(SIGHUP);
+    runFor(200ms);
+    EXPECT_TRUE(directoryHoldsFor(2)) << "a faulty file changes nothing";
+    m_daemon->rewriteSettings(settingsText(1));
+    EXPECT_TRUE(directoryHoldsFor(1)) << "without a signal";
+}
+
+/// Replicas stop working for a caller that has left, which they see by their connection.
+TEST_F(daemon_test, CallerThatLeavesStopsItsShardRequests)
+{
+    std::shared_ptr<raw_connection> asked;
+    raw_server slow(m_loop, [&](raw_connection &peer) { asked = peer.shared_from_this(); });
+    m_store.putText("config", "main", configuration);
+    addReplica("i-a", "a", slow);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    const auto caller = connect(m_front);
+    ASSERT_TRUE(caller);
+    caller->send("GET /g/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline-Ms: 3000\r\n\r\n");
+    ASSERT_TRUE(runUntil([&]() { return asked != nullptr; }));
+    const auto leftAt = std::chrono::steady_clock::now();
+    caller->finish();
+    caller->socket.close();
+    ASSERT_TRUE(runUntil([&]() { return asked->ended; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - leftAt, 500ms);
+}
+
+/// The replica is told how long the caller still waits, a second one less than the first.
+TEST_F(daemon_test, ReplicasGetWhatIsLeftOfTheCallersTime)
+{
+    std::vector<long> left;
+    const auto note = [&](raw_connection &peer, const std::string &answer) {
+        if (peer.received.find("\r\n\r\n") == std::string::npos) {
+            return;
+        }
+        const std::string name = "Deadline-Ms: ";
+        left.push_back(std::stol(peer.received.substr(peer.received.find(name) + name.size())));
+        peer.received.clear();
+        peer.send(answer);
+    };
+    const std::string refusal = "HTTP/1.1 503 X\r\nRequest-Id: id-1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    raw_server first(m_loop, [&](raw_connection &peer) {
+        runAfter(100ms, [&note, &refusal, weak = peer.weak_from_this()]() {
+            if (const auto open = weak.lock()) {
+                note(*open, refusal);
+            }
+        });
+    });
+    m_store.putText("config", "main", configuration);
+    addReplica("i-a", "a", first);
+    addReplica("i-a2", "a", first);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    const std::string answer = ask(m_front, "GET /s/1");
+    ASSERT_EQ(left.size(), 2U) << answer;
+    EXPECT_LE(left[0], 3000);
+    EXPECT_GT(left[0], 2000);
+    EXPECT_LE(left[1], left[0] - 90);
+}
+
+/// A replica may answer before it has read a long body. Whatever it reads later must be the rest of that body, then
+/// perhaps a whole request.
+TEST_F(daemon_test, ReplicaThatAnswersEarlyGetsTheRestOfThatBodyOnly)
+{
+    std::map<raw_connection *, std::size_t> due; // Bytes of the body that are still to come.
+    int answered = 0;
+    raw_server early(m_loop, [&](raw_connection &peer) {
+        std::size_t &left = due[&peer];
+        const std::size_t taken = std::min(left, peer.received.size());
+        EXPECT_EQ(peer.received.find_first_not_of('b', 0), taken < peer.received.size() ? taken : std::string::npos);
+        peer.received.erase(0, taken);
+        left -= taken;
+        const std::size_t end = peer.received.find("\r\n\r\n");
+        if (left > 0 || end == std::string::npos) {
+            return;
+        }
+        EXPECT_TRUE(peer.received.starts_with("POST /s/1 HTTP/1.1\r\n")) << peer.received.substr(0, 80);
+        const std::string name = "Content-Length: ";
+        left = std::stoul(peer.received.substr(peer.received.find(name) + name.size()));
+        peer.received.erase(0, end + 4);
+        const std::size_t first = std::min(left, peer.received.size());
+        peer.received.erase(0, first);
+        left -= first;
+        ++answered;
+        peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: d\r\nContent-Length: 2\r\n\r\nok");
+    });
+    m_store.putText("config", "main", configuration);
+    addReplica("i-a", "a", early);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    constexpr int requests = 5;
+    for (int request = 0; request < requests; ++request) {
+        const auto caller = connect(m_front);
+        ASSERT_TRUE(caller);
+        const std::string body(200'000, 'b'); // Takes many reads.
+        caller->send("POST /s/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nContent-Length: "
+                     + std::to_string(body.size()) + "\r\n\r\n" + body);
+        EXPECT_TRUE(runUntil([&]() { return caller->received.ends_with("ok"); })) << caller->received;
+    }
+    EXPECT_EQ(answered, requests);
+}
+
 TEST_F(daemon_test, FaultySettingsEndTheStart)
 {
     daemon_process faulty(R"({"node-name": 5})");
