--- a/Tests/platform/Soak/Replica.cpp
+++ b/Tests/platform/Soak/Replica.cpp
@@ -11,8 +11,8 @@
 using namespace std::chrono_literals;
 
 static constexpr unsigned slots = 3;
-static constexpr std::chrono::milliseconds shortestWork {2};
-static constexpr std::chrono::milliseconds longestWork {12};
+static constexpr std::chrono::milliseconds shortestWork {5};
+static constexpr std::chrono::milliseconds longestWork {50};
 static constexpr int slowFactor = 20;
 static constexpr std::size_t recordsInPart = 3;
 static constexpr std::size_t recordSize = 16;
