Tests: Let the soak's replicas queue, and look for ends apart from lateness

Ruled out: the daemons (they asked a second replica each time) and lasting trouble (the last ended 8 s before). Callers looked for the end of a connection by the check for lateness, which reported requests of over 100 ms in calm times.

--- a/Meta/commands/fuzz.sh
+++ b/Meta/commands/fuzz.sh
@@ -12,18 +12,20 @@
 done
 ninja --quiet -C "$build" "${targets[@]}" >&2
 printf '%s\0' Tests/Fuzz/*.cpp | xargs -0 -n 2 -P "$(nproc)" clang-tidy -p "$build" --quiet 2>/dev/null
-passed=0
-for target in "${targets[@]}"; do
+export runs build
+run_target() {
+    local scratch
     scratch=$(mktemp -d)
-    if ! UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 "$build/Tests/Fuzz/$target" -runs="$runs" -seed=1 -max_len=4096 \
+    if ! UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 "$build/Tests/Fuzz/$1" -runs="$runs" -seed=1 -max_len=4096 \
         -timeout=60 -rss_limit_mb=2048 -verbosity=0 -print_final_stats=0 -artifact_prefix="$scratch/" "$scratch" \
-        "Tests/Fuzz/Corpus/$target" >"$scratch/log" 2>&1; then
+        "Tests/Fuzz/Corpus/$1" >"$scratch/log" 2>&1; then
         tail -40 "$scratch/log"
-        echo "fuzz: $target failed; its input lies in $scratch"
-        exit 1
+        echo "fuzz: $1 failed; its input lies in $scratch"
+        return 1
     fi
     rm -r "$scratch"
-    passed=$((passed + 1))
-    echo "fuzz: $target, $runs inputs, seed 1, no fault"
-done
-echo "fuzz: $passed targets, no fault"
+    echo "fuzz: $1, $runs inputs, seed 1, no fault"
+}
+export -f run_target
+printf '%s\n' "${targets[@]}" | xargs -P 3 -I{} bash -c 'run_target {}' # Three at once stay under their memory limits.
+echo "fuzz: ${#targets[@]} targets, no fault"
--- a/Meta/commands/platform_build.sh
+++ b/Meta/commands/platform_build.sh
@@ -5,7 +5,7 @@
 trap 'rm -rf "$folder"' EXIT
 git archive HEAD | tar -x -C "$folder"
 command=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
-(cd "$folder" && bash -c "$command") >"$folder/log" 2>&1 || {
+(cd "$folder" && CCACHE_BASEDIR=$folder bash -c "$command") >"$folder/log" 2>&1 || {
     tail -40 "$folder/log" >&2
     exit 1
 }
--- a/Meta/commands/soak.sh
+++ b/Meta/commands/soak.sh
@@ -4,7 +4,7 @@
 bash Meta/commands/build.sh
 first=${1:-1}
 count=${2:-1}
-at_once=${3:-1}
+at_once=${3:-2}
 folder=$(mktemp -d)
 play() {
     mkdir "$folder/$1"
--- a/Meta/ragwortcrank.sh
+++ b/Meta/ragwortcrank.sh
@@ -17,4 +17,6 @@
     exit 2
 fi
 shift
+# Objects are the same in whatever folder a clone lies.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 exec bash "Meta/commands/$command.sh" "$@"
--- a/Tests/platform/Soak/Caller.cpp
+++ b/Tests/platform/Soak/Caller.cpp
@@ -180,8 +180,7 @@
         watchFor(earlyLeave, &caller::leave);
     }
     watchFor(patience, &caller::giveUp);
-    // The end of the connection is only seen by looking.
-    watchFor(retryPause, &caller::checkLate);
+    watchFor(retryPause, &caller::lookForEnd);
 }
 
 void caller::watchFor(std::chrono::milliseconds delay, void (caller::*step)(const std::string &))
@@ -193,14 +192,21 @@
     });
 }
 
-void caller::checkLate(const std::string &id)
+/// The end of a connection is only seen by looking.
+void caller::lookForEnd(const std::string &)
 {
     if (m_connection->ended) {
         onEnd();
         return;
     }
-    m_judge.noteLate(id);
-    watchFor(retryPause, &caller::checkLate);
+    watchFor(retryPause, &caller::lookForEnd);
+}
+
+void caller::checkLate(const std::string &id)
+{
+    if (!m_connection->ended) {
+        m_judge.noteLate(id);
+    }
 }
 
 void caller::giveUp(const std::string &)
--- a/Tests/platform/Soak/Caller.h
+++ b/Tests/platform/Soak/Caller.h
@@ -39,6 +39,7 @@
     void onBytes();
     void onEnd();
     void watchFor(std::chrono::milliseconds delay, void (caller::*step)(const std::string &));
+    void lookForEnd(const std::string &id);
     void checkLate(const std::string &id);
     void giveUp(const std::string &id);
     void leave(const std::string &id);
--- a/Tests/platform/Soak/Judge.cpp
+++ b/Tests/platform/Soak/Judge.cpp
@@ -292,6 +292,13 @@
                                       [&](const std::string &id) { return m_requests.at(id).status / 100 == 2; });
     const auto asked = static_cast<double>(m_recoveryRequests.size());
     if (asked == 0.0 || static_cast<double>(served) < servedInCalm * asked) {
+        for (const std::string &id : m_recoveryRequests) {
+            const sent_request &request = m_requests.at(id);
+            if (request.status / 100 != 2) {
+                noteWork(id + " to daemon " + std::to_string(request.daemon) + " ended with "
+                         + std::to_string(request.status) + " " + request.path);
+            }
+        }
         report("recovery", "",
                std::to_string(served) + " of " + std::to_string(m_recoveryRequests.size())
                    + " requests were served after recovery");
--- a/Tests/platform/Soak/Replica.cpp
+++ b/Tests/platform/Soak/Replica.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 static constexpr unsigned slots = 3;
+static constexpr std::size_t queueLength = 8; ///< Replicas queue a few requests and refuse more.
 static constexpr std::chrono::milliseconds shortestWork {5};
 static constexpr std::chrono::milliseconds longestWork {50};
 static constexpr int slowFactor = 20;
@@ -35,6 +36,7 @@
 {
     ++m_start;
     m_running = 0;
+    m_waiting.clear();
     m_fault = replica_fault::None;
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count();
@@ -138,26 +140,40 @@
         return;
     }
     m_judge.noteArrival(asked.id, m_id, m_service, m_dataCentre, asked.method, asked.path, asked.body);
-    if (m_running >= slots || m_fault == replica_fault::Full) {
+    if (m_waiting.size() >= queueLength || m_fault == replica_fault::Full) {
         peer.send(refusal("503", asked.id));
         return;
     }
-    ++m_running;
-    m_judge.noteRun(asked.id, m_service);
-    const auto work = std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(
-                          shortestWork.count(), longestWork.count())(m_random))
-        * (m_fault == replica_fault::Slow ? slowFactor : 1);
-    m_timers.schedule(std::chrono::steady_clock::now() + work,
-                      [this, weak = peer.weak_from_this(), asked, start = m_start](Core::time_point) {
-                          if (start != m_start) {
-                              return;
-                          }
-                          --m_running;
-                          const auto open = weak.lock();
-                          if (open && !open->ended) {
-                              answer(*open, asked);
-                          }
-                      });
+    m_waiting.push_back({peer.weak_from_this(), asked});
+    runWaiting();
+}
+
+void replica::runWaiting()
+{
+    while (m_running < slots && !m_waiting.empty()) {
+        const waiting_request next = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        const auto peer = next.peer.lock();
+        if (!peer || peer->ended) {
+            continue;
+        }
+        ++m_running;
+        m_judge.noteRun(next.asked.id, m_service);
+        const auto drawn = std::chrono::milliseconds(
+            std::uniform_int_distribution<std::int64_t>(shortestWork.count(), longestWork.count())(m_random));
+        const auto work = drawn * (m_fault == replica_fault::Slow ? slowFactor : 1);
+        m_timers.schedule(std::chrono::steady_clock::now() + work, [this, next, start = m_start](Core::time_point) {
+            if (start != m_start) {
+                return;
+            }
+            --m_running;
+            const auto open = next.peer.lock();
+            if (open && !open->ended) {
+                answer(*open, next.asked);
+            }
+            runWaiting();
+        });
+    }
 }
 
 void replica::answer(raw_connection &peer, const request &asked)
--- a/Tests/platform/Soak/Replica.h
+++ b/Tests/platform/Soak/Replica.h
@@ -10,6 +10,7 @@
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -47,7 +48,13 @@
         std::string body;
     };
 
+    struct waiting_request {
+        std::weak_ptr<raw_connection> peer;
+        request asked;
+    };
+
     void onBytes(raw_connection &peer);
+    void runWaiting();
     void carryOut(raw_connection &peer, const request &asked);
     void answer(raw_connection &peer, const request &asked);
 
@@ -63,6 +70,7 @@
     std::int64_t m_born = 0;
     std::uint64_t m_answers = 0;
     unsigned m_running = 0;
+    std::deque<waiting_request> m_waiting;
     std::uint64_t m_start = 0; ///< Counts the starts, so that work of an earlier one is dropped.
     replica_fault m_fault = replica_fault::None;
     std::string m_lastAnswer; ///< For extra answers.
