LibForward: Share a cold replica's allowance among the first by rank where daemons are many

Ruled out: rounding up (breaks the sum). Change: where there are fewer requests than daemons, those that come first for the replica by rendezvous weight send one each. Test: 90 daemons, 23 requests a second allowed: 0 sent before, at least 8 and at most half of the allowance now.

--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -4,6 +4,7 @@
 #include "LibForward/ExpectedLatency.h"
 #include "LibForward/ReplicaBook.h"
 #include "LibForward/RolloutEvents.h"
+#include "LibMembership/RendezvousWeight.h"
 
 #include <algorithm>
 #include <random>
@@ -18,6 +19,23 @@
 static constexpr unsigned failuresOfTheDead = 3; ///< Single failures are common where connections are spoiled.
 static constexpr double scoreJitter = 0.05; ///< Spreads daemons over replicas that look alike.
 
+/// This daemon's part of the requests a second that all may send to a cold replica. Where there are fewer requests than
+/// daemons, those that come first for this replica by rendezvous weight send one each.
+static unsigned coldShare(const replica_book &book, const replica_state &replica, double allowed)
+{
+    const auto forAll = static_cast<std::size_t>(allowed * coldPart);
+    const std::size_t daemons = std::max<std::size_t>(book.daemons, 1);
+    if (forAll >= daemons) {
+        return static_cast<unsigned>(forAll / daemons);
+    }
+    const std::uint64_t key = Membership::hashName(replica.entry.id);
+    const std::uint64_t ownWeight = Membership::rendezvousWeight(key, book.ownHash);
+    const auto before = std::count_if(book.otherHashes.begin(), book.otherHashes.end(), [&](std::uint64_t other) {
+        return Membership::rendezvousWeight(key, other) > ownWeight;
+    });
+    return static_cast<std::size_t>(before) < forAll ? 1 : 0;
+}
+
 static bool coldAllows(const replica_book &book, const replica_state &replica, const service_policy *policy,
                        Core::time_point now)
 {
@@ -25,10 +43,8 @@
         return true;
     }
     const double allowed = policy->coldRequestsPerSecond * book.coldOvershoot + book.coldSlack;
-    const auto share =
-        static_cast<unsigned>(allowed * coldPart / static_cast<double>(std::max<std::size_t>(book.daemons, 1)));
     const unsigned sent = now - replica.coldWindowStart < coldWindow ? replica.coldSent : 0;
-    return sent < share;
+    return sent < coldShare(book, replica, allowed);
 }
 
 static bool regionAllowed(const replica_book &book, const replica_state &replica,
--- a/Libraries/LibForward/ReplicaBook.h
+++ b/Libraries/LibForward/ReplicaBook.h
@@ -5,6 +5,7 @@
 #include "LibForward/ServiceState.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -23,6 +24,8 @@
     std::set<std::string> evacuatedDataCentres; ///< Their replicas get no new requests.
     repeat_limits repeatLimits;
     std::size_t daemons = 1; ///< Live daemons, which share connections, slack and cold allowances.
+    std::uint64_t ownHash = 0; ///< Of this daemon's name.
+    std::vector<std::uint64_t> otherHashes; ///< Of the other live daemons' names.
     double coldOvershoot = 1.0; ///< Factor on a service's stated cold rate that a replica still bears.
     double coldSlack = 0.0; ///< Requests a second beyond that, over all daemons.
 };
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -5,6 +5,7 @@
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibMembership/RendezvousWeight.h"
 
 #include <gtest/gtest.h>
 
@@ -135,6 +136,46 @@
     EXPECT_GT(sent.size(), 8U);
 }
 
+/// Pattern: a data centre returns cold in a fleet of more daemons than a cold replica bears requests a second. All
+/// together stay within the allowance, and the replica is not left without any.
+TEST_F(choose_replica_test, ManyDaemonsShareAColdReplicasAllowance)
+{
+    constexpr std::size_t daemons = 90;
+    constexpr double allowedInASecond = 12.0 * 1.5 + 5.0;
+    Forward::service_policy policy;
+    policy.coldRequestsPerSecond = 12.0;
+    for (int replica = 0; replica < 5; ++replica) {
+        std::size_t sent = 0;
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+            Forward::forward_context context = Fixtures::makeContext();
+            Forward::replica_entry cold = Fixtures::replicaEntry("cold-" + std::to_string(replica), "s0", "a");
+            cold.coldFor = 5s;
+            Forward::applyEntry(context.book, cold, m_now);
+            context.book.coldOvershoot = 1.5;
+            context.book.coldSlack = 5.0;
+            context.book.daemons = daemons;
+            for (std::size_t other = 0; other < daemons; ++other) {
+                const std::uint64_t hash = Membership::hashName("vm-" + std::to_string(other));
+                if (other == daemon) {
+                    context.book.ownHash = hash;
+                } else {
+                    context.book.otherHashes.push_back(hash);
+                }
+            }
+            for (int request = 0; request < 3; ++request) {
+                const Core::time_point now = m_now + request * 100ms;
+                if (Forward::chooseReplica(context.book, 0, {.policy = &policy}, now, context.random)) {
+                    Forward::recordColdRequest(Forward::replicaAt(context.book, keyOf(0)), now);
+                    ++sent;
+                }
+            }
+        }
+        // A sliding second can hold the requests of two counted ones.
+        EXPECT_LE(2.0 * static_cast<double>(sent), allowedInASecond);
+        EXPECT_GE(sent, 8U);
+    }
+}
+
 TEST_F(choose_replica_test, NewStartUnderTheSameIdForgetsTheOldOne)
 {
     Forward::recordSent(m_context.book, keyOf(0), m_now);
