LibForward: Earn the slack of repeats over a window, and divide it by the widest fleet seen lately

Each new process brought a whole part of the fleet's slack along, and the others divided it by the daemons that they still saw. Ruled out: the ratio (each daemon keeps 0.9 of it). Change: a part is earned over the first window; half of the slack is given out, divided by the most daemons of two windows. RestartsInSeriesStayWithinTheFleetsSlack fails with the old arithmetic (470 repeats, 458 allowed).

--- a/Libraries/LibForward/RepeatEvents.cpp
+++ b/Libraries/LibForward/RepeatEvents.cpp
@@ -36,12 +36,26 @@
     ++budget.firsts[newestIndex(budget)];
 }
 
+double partOfSlack(double fleetSlack, std::size_t widestFleet)
+{
+    constexpr double givenOut = 0.5;
+    return fleetSlack * givenOut / static_cast<double>(std::max<std::size_t>(widestFleet, 1));
+}
+
+/// The slack is earned over the first window, so that daemons that restart one after the other do not each bring a
+/// whole part along.
+static double earnedSlack(const repeat_limits &limits, Core::time_point now)
+{
+    const double age = Core::toSeconds(now - limits.startedAt) / Core::toSeconds(limits.window);
+    return limits.slack * std::clamp(age, 0.0, 1.0);
+}
+
 bool takeRepeat(repeat_budget &budget, const repeat_limits &limits, Core::time_point now)
 {
     advance(budget, limits, now);
     const auto firsts = std::accumulate(budget.firsts.begin(), budget.firsts.end(), std::uint32_t {0});
     const auto repeats = std::accumulate(budget.repeats.begin(), budget.repeats.end(), std::uint32_t {0});
-    if (repeats + 1.0 > limits.ratio * usedPart * firsts + limits.slack) {
+    if (repeats + 1.0 > limits.ratio * usedPart * firsts + earnedSlack(limits, now)) {
         return false;
     }
     ++budget.repeats[newestIndex(budget)];
--- a/Tests/LibForward/TestRepeatBudget.cpp
+++ b/Tests/LibForward/TestRepeatBudget.cpp
@@ -1,3 +1,4 @@
+#include "LibForward/FleetWidth.h"
 #include "LibForward/RepeatBudget.h"
 #include "LibForward/RepeatEvents.h"
 #include "LibForward/RepeatLimits.h"
@@ -43,6 +44,63 @@
     EXPECT_GT(repeats.size(), firsts.size() / 10);
 }
 
+/// Pattern: nine daemons are restarted one after the other, twice within a window, while everything wants repeats; each
+/// sees a fleet without those that are away. The sum over all of them, gone ones included, stays within the bound.
+TEST(RepeatBudget, RestartsInSeriesStayWithinTheFleetsSlack)
+{
+    constexpr std::size_t daemons = 9;
+    constexpr double fleetSlack = 58.0;
+    constexpr auto serviceTime = 500ms; // Between two restarts.
+    struct daemon_run {
+        Forward::repeat_budget budget;
+        Forward::repeat_limits limits;
+        Forward::fleet_width width;
+    };
+    std::vector<daemon_run> fleet(daemons);
+    std::vector<Core::time_point> firsts;
+    std::vector<Core::time_point> repeats;
+    Core::time_point restartAt {15s};
+    std::size_t restarts = 0;
+    for (Core::time_point now {}; now < Core::time_point {} + 40s; now += 5ms) {
+        if (now >= restartAt && restarts < 2 * daemons) {
+            daemon_run &restarted = fleet[restarts++ % daemons];
+            restarted = {};
+            restarted.limits.startedAt = now;
+            restartAt = now + serviceTime;
+        }
+        daemon_run &one = fleet[static_cast<std::size_t>(now.time_since_epoch() / 5ms) % daemons];
+        const bool someAreAway = restarts > 0 && restarts < 2 * daemons;
+        const std::size_t seen = someAreAway ? daemons / 2 : daemons;
+        one.limits.slack = Forward::partOfSlack(fleetSlack, Forward::widestFleet(one.width, seen, 20s, now));
+        Forward::recordFirst(one.budget, one.limits, now);
+        firsts.push_back(now);
+        while (Forward::takeRepeat(one.budget, one.limits, now)) {
+            repeats.push_back(now);
+        }
+    }
+    const auto countIn = [&](const std::vector<Core::time_point> &times, Core::time_point from) {
+        return std::count_if(times.begin(), times.end(),
+                             [&](Core::time_point time) { return time >= from && time < from + 10s; });
+    };
+    for (Core::time_point from {}; from < Core::time_point {} + 30s; from += 100ms) {
+        EXPECT_LE(static_cast<double>(countIn(repeats, from)),
+                  0.2 * static_cast<double>(countIn(firsts, from)) + fleetSlack)
+            << Core::toSeconds(from.time_since_epoch());
+    }
+    EXPECT_GT(repeats.size(), firsts.size() / 10);
+}
+
+TEST(FleetWidth, RemembersTheWidestForAWhile)
+{
+    Forward::fleet_width width;
+    const Core::time_point start {100s};
+    EXPECT_EQ(Forward::widestFleet(width, 9, 20s, start), 9U);
+    EXPECT_EQ(Forward::widestFleet(width, 4, 20s, start + 5s), 9U);
+    EXPECT_EQ(Forward::widestFleet(width, 6, 20s, start + 10s), 9U);
+    EXPECT_EQ(Forward::widestFleet(width, 5, 20s, start + 21s), 6U);
+    EXPECT_EQ(Forward::widestFleet(width, 5, 20s, start + 40s), 5U);
+}
+
 TEST(RepeatBudget, SlackAloneServesAServiceWithoutTraffic)
 {
     const Forward::repeat_limits limits {.ratio = 0.2, .slack = 2.0, .window = 10s};
