--- a/Tests/platform/Soak/Fleet.cpp
+++ b/Tests/platform/Soak/Fleet.cpp
@@ -8,11 +8,12 @@
 #include <boost/json/serialize.hpp>
 
 #include <csignal>
+#include <unistd.h>
 
 namespace Soak
 {
 static constexpr std::chrono::milliseconds restartPause {500};
-static constexpr std::size_t portsOfADaemon = 5;
+static constexpr std::uint16_t firstPort = 20'000; ///< Below those that the system gives out by itself.
 
 /// Ports that are the same at every daemon, as on the platform.
 enum class port_use { Callers, Readiness, Directory, Control, Peers };
@@ -20,11 +21,15 @@
 fleet::fleet(boost::asio::io_context &loop, judge &rules, const soak_options &options, std::uint16_t storePort)
     : m_judge(rules)
     , m_options(options)
-    , m_firstPort(static_cast<std::uint16_t>(20'000 + options.seed % 200 * portsOfADaemon))
 {
+    // Runs at the same time, of the same seed too, must not meet: the process's id makes the network.
+    constexpr pid_t parts = 250;
+    const pid_t own = getpid();
+    const std::string network =
+        "127." + std::to_string(1 + own / parts % parts) + "." + std::to_string(own % parts) + ".";
     for (std::size_t index = 0; index < options.daemons; ++index) {
         daemon_place place;
-        place.address = "127." + std::to_string(1 + options.seed % 250) + ".0." + std::to_string(10 + index);
+        place.address = network + std::to_string(10 + index);
         place.dataCentre = index % 2 == 0 ? "z1" : "z2";
         place.storeLink = std::make_unique<link>(loop, storePort);
         m_daemons.push_back(std::move(place));
@@ -34,7 +39,7 @@
     }
 }
 
-static std::string withPort(const std::string &address, std::uint16_t firstPort, port_use use)
+static std::string withPort(const std::string &address, port_use use)
 {
     return address + ":" + std::to_string(firstPort + static_cast<int>(use));
 }
@@ -43,13 +48,13 @@
 {
     const daemon_place &own = m_daemons[daemon];
     const auto at = [&](port_use use) {
-        return withPort(own.address, m_firstPort, use);
+        return withPort(own.address, use);
     };
     boost::json::array seeds;
     for (std::size_t index = 0; index < std::min<std::size_t>(m_daemons.size(), 3); ++index) {
-        seeds.emplace_back(withPort(m_daemons[index].address, m_firstPort, port_use::Control));
+        seeds.emplace_back(withPort(m_daemons[index].address, port_use::Control));
     }
-    const int peers = m_firstPort + static_cast<int>(port_use::Peers);
+    const int peers = firstPort + static_cast<int>(port_use::Peers);
     const auto milliseconds = [](auto time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
@@ -94,17 +99,17 @@
 
 std::string fleet::callerAddress(std::size_t daemon) const
 {
-    return withPort(m_daemons[daemon].address, m_firstPort, port_use::Callers);
+    return withPort(m_daemons[daemon].address, port_use::Callers);
 }
 
 std::string fleet::directoryAddress(std::size_t daemon) const
 {
-    return withPort(m_daemons[daemon].address, m_firstPort, port_use::Directory);
+    return withPort(m_daemons[daemon].address, port_use::Directory);
 }
 
 std::string fleet::readinessAddress(std::size_t daemon) const
 {
-    return withPort(m_daemons[daemon].address, m_firstPort, port_use::Readiness);
+    return withPort(m_daemons[daemon].address, port_use::Readiness);
 }
 
 link &fleet::storeLink(std::size_t daemon)
--- a/Tests/platform/Soak/Fleet.h
+++ b/Tests/platform/Soak/Fleet.h
@@ -64,7 +64,6 @@
 
     judge &m_judge;
     soak_options m_options;
-    std::uint16_t m_firstPort;
     std::vector<daemon_place> m_daemons;
 };
 } // namespace Soak
