LibForward, LibFront: Withdraw attempts whose deadline has passed

Ruled out: a longer margin before the deadline, since the wait is bounded by the connect timeout and not by a margin. Change: the text of an attempt is built when it can be sent; it is withdrawn if no time is left, if its replica has been removed or replaced, or if its request has ended. The connection stays usable, and the retry budget gets back what the attempt took. After the deadline neither hedges nor retries are sent, also when the process stood still. New counter withdrawn_total. Tests: three of LibForward and one of LibFront, which did not build or failed before.

--- a/Libraries/LibForward/ReplicaEvents.cpp
+++ b/Libraries/LibForward/ReplicaEvents.cpp
@@ -69,6 +69,9 @@
 {
     replica_state &replica = replicaAt(replicaTable, key);
     removeOutstanding(replica, sentAt);
+    if (failure == attempt_failure::Withdrawn) {
+        return; // The replica had no part in it.
+    }
     if (failure == attempt_failure::NotExecuted) {
         replica.avoidUntil = std::max(replica.avoidUntil, now + overloadAvoidance);
         return;
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -51,8 +51,8 @@
     return mayUseOtherSide ? chooseReplica(context.replicaTable, service, filter, now, context.random) : std::nullopt;
 }
 
-static void send(request_state &request, std::size_t subrequestIndex, std::size_t replica, forward_context &context,
-                 request_effects &effects, Core::time_point now)
+static void send(request_state &request, std::size_t subrequestIndex, std::size_t replica, attempt_kind kind,
+                 forward_context &context, request_effects &effects, Core::time_point now)
 {
     subrequest_state &subrequest = request.subrequests[subrequestIndex];
     const replica_key key {request.plan.services[subrequestIndex], replica};
@@ -60,9 +60,9 @@
     recordColdRequest(replicaAt(context.replicaTable, key), now);
     const std::uint32_t attempt = request.nextAttempt++;
     subrequest.tried.push_back(replica);
-    subrequest.running.push_back({attempt, key, now});
+    subrequest.running.push_back({attempt, key, now, kind});
     ++subrequest.sends;
-    effects.sends.push_back({attempt, subrequestIndex, key});
+    effects.sends.push_back({attempt, subrequestIndex, key, kind});
 }
 
 static void closeSubrequest(request_state &request, subrequest_state &subrequest, request_effects &effects)
@@ -188,7 +188,7 @@
             closeSubrequest(request, subrequest, effects);
             continue;
         }
-        send(request, index, *replica, context, effects, now);
+        send(request, index, *replica, attempt_kind::First, context, effects, now);
         scheduleHedge(request, subrequest, context, now);
     }
     finishOrScheduleWake(request, context, effects, now);
@@ -207,11 +207,13 @@
     return {nullptr, 0};
 }
 
-static void endAttempt(subrequest_state &subrequest, std::uint32_t attempt)
+static attempt_state endAttempt(subrequest_state &subrequest, std::uint32_t attempt)
 {
     const auto found = std::find_if(subrequest.running.begin(), subrequest.running.end(),
                                     [&](const attempt_state &running) { return running.id == attempt; });
+    const attempt_state ended = *found;
     subrequest.running.erase(found);
+    return ended;
 }
 
 request_effects onAnswer(request_state &request, forward_context &context, std::uint32_t attempt, partial_result answer,
@@ -249,14 +251,15 @@
     if (subrequest == nullptr) {
         return effects;
     }
-    endAttempt(*subrequest, attempt);
-    if (failure == attempt_failure::NotSent) {
+    const attempt_state ended = endAttempt(*subrequest, attempt);
+    const std::size_t service = request.plan.services[index];
+    if (isUnsent(failure)) {
         --subrequest->sends;
         ++subrequest->unsentAttempts;
+        recordUnsentAttempt(context, ended.replica, ended.kind, ended.sentAt, now);
     }
     request.mayHaveRun = request.mayHaveRun || !guaranteesNotExecuted(failure);
-    if (mayRetry(request, *subrequest, failure)) {
-        const std::size_t service = request.plan.services[index];
+    if (now < request.plan.callerDeadline && mayRetry(request, *subrequest, failure)) {
         const std::optional<std::size_t> replica = chooseReplicaFor(request, *subrequest, context, service, now);
         // If no attempt has reached the service so far, this one counts as the first and needs no retry budget.
         const bool isFirst = subrequest->sends == 0;
@@ -265,7 +268,7 @@
                 || tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
                                 now))) {
             ++request.retries;
-            send(request, index, *replica, context, effects, now);
+            send(request, index, *replica, isFirst ? attempt_kind::First : attempt_kind::Retry, context, effects, now);
             scheduleHedge(request, *subrequest, context, now);
         }
     }
@@ -286,7 +289,7 @@
     if (request.finished) {
         return effects;
     }
-    for (std::size_t index = 0; index < request.subrequests.size(); ++index) {
+    for (std::size_t index = 0; now < request.plan.callerDeadline && index < request.subrequests.size(); ++index) {
         subrequest_state &subrequest = request.subrequests[index];
         if (!subrequest.open || !subrequest.hedgeAt || *subrequest.hedgeAt > now) {
             continue;
@@ -301,13 +304,22 @@
             && tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
                             now)) {
             ++request.hedges;
-            send(request, index, *replica, context, effects, now);
+            send(request, index, *replica, attempt_kind::Retry, context, effects, now);
         }
     }
     finishOrScheduleWake(request, context, effects, now);
     return effects;
 }
 
+void recordUnsentAttempt(forward_context &context, const replica_key &replica, attempt_kind kind,
+                         Core::time_point sentAt, Core::time_point now)
+{
+    if (kind == attempt_kind::Retry) {
+        returnRetry(context.replicaTable.services[replica.service]->retryBudget, context.replicaTable.retryLimits,
+                    sentAt, now);
+    }
+}
+
 void abandonRequest(request_state &request, forward_context &context)
 {
     request.finished = true;
--- a/Libraries/LibForward/RequestEvents.h
+++ b/Libraries/LibForward/RequestEvents.h
@@ -9,8 +9,10 @@
 namespace Forward
 {
 enum class attempt_failure;
+enum class attempt_kind;
 struct forward_context;
 struct partial_result;
+struct replica_key;
 struct request_state;
 
 /// Sends the first attempt to each shard or to the single service. The plan must be set.
@@ -27,6 +29,11 @@
 /// Sends hedges that are due, and ends the request when one of its deadlines has passed.
 [[nodiscard]] request_effects onTimer(request_state &request, forward_context &context, Core::time_point now);
 
+/// Returns what an attempt has taken from the retry budget although it reached no replica. `onFailure` does this for
+/// attempts of running requests; this is for those that outlive their request.
+void recordUnsentAttempt(forward_context &context, const replica_key &replica, attempt_kind kind,
+                         Core::time_point sentAt, Core::time_point now);
+
 /// Ends a request whose caller has disconnected. Cancelling its attempts is left to the calling code.
 void abandonRequest(request_state &request, forward_context &context);
 } // namespace Forward
--- a/Libraries/LibForward/RetryEvents.cpp
+++ b/Libraries/LibForward/RetryEvents.cpp
@@ -11,11 +11,16 @@
 /// Fraction of the ratio that is used: requests near the edge of a window may be counted in the next one.
 static constexpr double usedFraction = 0.9;
 
-static void advance(retry_budget &budget, const retry_limits &limits, Core::time_point now)
+static std::int64_t bucketNumber(const retry_limits &limits, Core::time_point when)
 {
     // One bucket more than the window needs keeps every sliding window within the counted span.
     const Core::duration width = limits.window / static_cast<std::int64_t>(retry_budget::bucketCount - 1);
-    const std::int64_t current = now.time_since_epoch() / width;
+    return when.time_since_epoch() / width;
+}
+
+static void advance(retry_budget &budget, const retry_limits &limits, Core::time_point now)
+{
+    const std::int64_t current = bucketNumber(limits, now);
     const std::int64_t steps = std::min<std::int64_t>(current - budget.newestBucket, retry_budget::bucketCount);
     for (std::int64_t step = 0; step < steps; ++step) {
         const std::size_t index = static_cast<std::size_t>(current - step) % retry_budget::bucketCount;
@@ -62,4 +67,15 @@
     ++budget.retries[newestIndex(budget)];
     return true;
 }
+
+void returnRetry(retry_budget &budget, const retry_limits &limits, Core::time_point takenAt, Core::time_point now)
+{
+    advance(budget, limits, now);
+    const std::int64_t bucket = bucketNumber(limits, takenAt);
+    const bool isCounted = budget.newestBucket - bucket < static_cast<std::int64_t>(retry_budget::bucketCount);
+    std::uint32_t &retries = budget.retries[static_cast<std::size_t>(bucket) % retry_budget::bucketCount];
+    if (isCounted && retries > 0) {
+        --retries;
+    }
+}
 } // namespace Forward
--- a/Libraries/LibForward/RetryEvents.h
+++ b/Libraries/LibForward/RetryEvents.h
@@ -18,4 +18,7 @@
 
 /// Counts a retry or hedge and returns true, or returns false if the budget of the current window is exhausted.
 [[nodiscard]] bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, Core::time_point now);
+
+/// Returns a retry that was taken at `takenAt` and whose attempt reached no replica.
+void returnRetry(retry_budget &budget, const retry_limits &limits, Core::time_point takenAt, Core::time_point now);
 } // namespace Forward
--- a/Libraries/LibForward/SendAttempt.h
+++ b/Libraries/LibForward/SendAttempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibForward/AttemptKind.h"
 #include "LibForward/ReplicaKey.h"
 
 #include <cstddef>
@@ -12,5 +13,6 @@
     std::uint32_t attempt = 0;
     std::size_t subrequest = 0;
     replica_key replica;
+    attempt_kind kind = attempt_kind::First;
 };
 } // namespace Forward
--- a/Libraries/LibFront/HttpChannel.cpp
+++ b/Libraries/LibFront/HttpChannel.cpp
@@ -41,7 +41,7 @@
     });
     replica_exchange exchange;
     exchange.ticket = 1;
-    exchange.makeText = [text = std::move(text)](Core::time_point) {
+    exchange.makeText = [text = std::move(text)](Core::time_point) -> std::optional<std::string> {
         return text;
     };
     exchange.onComplete = [this](exchange_result result) {
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -62,6 +62,7 @@
     addCounter(text, "abandoned_total", "Requests whose caller left.", counters.abandoned);
     addCounter(text, "unroutable_total", "Requests without a route.", counters.unroutable);
     addCounter(text, "attempts_total", "Requests sent to replicas.", counters.attempts);
+    addCounter(text, "withdrawn_total", "Of these, withdrawn before a connection was available.", counters.withdrawn);
     addCounter(text, "hedges_total", "Second attempts beside a late first one.", counters.hedges);
     addCounter(text, "retries_total", "Attempts after one that failed.", counters.retries);
     addCounter(text, "replica_connections_total", "Connections opened to replicas.",
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -105,7 +105,14 @@
 
 void replica_connection::write()
 {
-    m_requestText = m_exchange->makeText(std::chrono::steady_clock::now());
+    std::optional<std::string> text = m_exchange->makeText(std::chrono::steady_clock::now());
+    if (!text) {
+        exchange_result result;
+        result.failure = Forward::attempt_failure::Withdrawn;
+        finish(std::move(result));
+        return;
+    }
+    m_requestText = std::move(*text);
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_requestText),
         [self = shared_from_this(), ticket = m_exchange->ticket](const boost::system::error_code &error, std::size_t) {
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -75,8 +75,9 @@
     const Forward::replica_registration &registration =
         Forward::replicaAt(context.replicaTable, send.replica).registration;
     replica_exchange exchange;
-    exchange.makeText = [self = shared_from_this(), instance = registration.id](Core::time_point at) {
-        return self->serializeAttemptAt(instance, at);
+    exchange.makeText = [self = shared_from_this(), key = send.replica,
+                         instance = registration.id](Core::time_point at) {
+        return self->serializeAttemptAt(key, instance, at);
     };
     exchange.requestId = m_requestId;
     exchange.isHead = m_isHead;
@@ -86,16 +87,22 @@
     };
     ++m_environment.counters.attempts;
     open_attempt &open = m_openAttempts[send.attempt];
-    open = {send.replica, 0, now};
+    open = {send.replica, 0, now, send.kind};
     const std::size_t connections = connectionShare(context, *m_request.plan.configuration, registration.service);
     open.ticket =
         m_environment.connections.submit(send.replica, registration.address, connections, std::move(exchange));
 }
 
-std::string request_task::serializeAttemptAt(const std::string &instance, Core::time_point now) const
+std::optional<std::string> request_task::serializeAttemptAt(const Forward::replica_key &key,
+                                                            const std::string &instance, Core::time_point now) const
 {
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_callerDeadline - now).count();
-    return serializeAttempt(m_forwardedRequest, m_environment.names, std::max<std::int64_t>(remaining, 1), instance);
+    const Forward::replica_state &replica = Forward::replicaAt(m_environment.forward.replicaTable, key);
+    const bool isSameReplica = !replica.removed && replica.registration.id == instance;
+    if (remaining <= 0 || !isSameReplica || m_request.finished) {
+        return std::nullopt;
+    }
+    return serializeAttempt(m_forwardedRequest, m_environment.names, remaining, instance);
 }
 
 void request_task::onComplete(std::uint32_t attempt, exchange_result exchangeResult)
@@ -150,8 +157,13 @@
         recordRolloutOutcome(sent, true, now);
     }
     Forward::recordFailure(m_environment.forward.replicaTable, sent.replica, failure, sent.sentAt, now);
+    if (failure == Forward::attempt_failure::Withdrawn) {
+        ++m_environment.counters.withdrawn;
+    }
     if (!m_request.finished) {
         applyEffects(Forward::onFailure(m_request, m_environment.forward, attempt, failure, now), now);
+    } else if (Forward::isUnsent(failure)) {
+        Forward::recordUnsentAttempt(m_environment.forward, sent.replica, sent.kind, sent.sentAt, now);
     }
 }
 
@@ -189,6 +201,13 @@
     });
 }
 
+void request_task::recordWithdrawal(const open_attempt &open, Core::time_point now)
+{
+    Forward::recordFailure(m_environment.forward.replicaTable, open.replica, Forward::attempt_failure::Withdrawn,
+                           open.sentAt, now);
+    Forward::recordUnsentAttempt(m_environment.forward, open.replica, open.kind, open.sentAt, now);
+}
+
 void request_task::cancelAfterDelay(Core::duration delay)
 {
     const Core::time_point now = std::chrono::steady_clock::now();
@@ -197,8 +216,7 @@
         if (!m_environment.connections.cancelWaiting(open.replica, open.ticket)) {
             return false;
         }
-        Forward::recordFailure(m_environment.forward.replicaTable, open.replica, Forward::attempt_failure::NotExecuted,
-                               open.sentAt, now);
+        recordWithdrawal(open, now);
         return true;
     });
     if (m_openAttempts.empty()) {
@@ -211,9 +229,12 @@
 void request_task::cancelOpenAttempts(Core::time_point now)
 {
     for (const auto &[attempt, open] : m_openAttempts) {
-        const bool sent = m_environment.connections.cancel(open.replica, open.ticket);
-        const auto failure = sent ? Forward::attempt_failure::NoResponse : Forward::attempt_failure::NotExecuted;
-        Forward::recordFailure(m_environment.forward.replicaTable, open.replica, failure, open.sentAt, now);
+        if (m_environment.connections.cancel(open.replica, open.ticket)) {
+            Forward::recordFailure(m_environment.forward.replicaTable, open.replica,
+                                   Forward::attempt_failure::NoResponse, open.sentAt, now);
+        } else {
+            recordWithdrawal(open, now);
+        }
     }
     m_openAttempts.clear();
 }
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -35,6 +35,7 @@
         Forward::replica_key replica;
         std::uint64_t ticket = 0;
         Core::time_point sentAt;
+        Forward::attempt_kind kind = Forward::attempt_kind::First;
     };
 
     void applyEffects(const Forward::request_effects &effects, Core::time_point now);
@@ -45,9 +46,13 @@
                        Core::time_point now);
     /// Records a response or failure for the service's rollout, if one is running.
     void recordRolloutOutcome(const open_attempt &sent, bool failed, Core::time_point now);
+    /// Records that an attempt was cancelled before it was sent.
+    void recordWithdrawal(const open_attempt &open, Core::time_point now);
     void recordReportedLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now);
     void scheduleWakeup(Core::time_point when);
-    [[nodiscard]] std::string serializeAttemptAt(const std::string &instance, Core::time_point now) const;
+    /// Returns the text of an attempt; nothing if it would reach the wrong replica, or nobody needs its response.
+    [[nodiscard]] std::optional<std::string>
+    serializeAttemptAt(const Forward::replica_key &key, const std::string &instance, Core::time_point now) const;
     /// Cancels queued attempts immediately, and attempts that were sent if they have not ended after the delay.
     void cancelAfterDelay(Core::duration delay);
     void cancelOpenAttempts(Core::time_point now);
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -1,12 +1,14 @@
 #include "Fixtures.h"
 
 #include "LibForward/AttemptFailure.h"
+#include "LibForward/ChooseReplica.h"
 #include "LibForward/MakePlan.h"
 #include "LibForward/PartialResult.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestEvents.h"
 #include "LibForward/RequestState.h"
+#include "LibForward/RetryEvents.h"
 
 #include <gtest/gtest.h>
 
@@ -200,6 +202,51 @@
     EXPECT_EQ(answer(third.sends[0].attempt).finished, request_outcome::Answered);
 }
 
+/// The connection for a retry opens after the caller's deadline, or the process stood still until then.
+TEST_F(request_events_test, WithdrawnAttemptGivesBackItsSlotAndBudget)
+{
+    addReplicas(1);
+    m_context.replicaTable.retryLimits.slack = 1.0;
+    m_context.replicaTable.retryLimits.ratio = 0.0;
+    const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::Idempotent), 4000ms);
+    const auto retried = fail(started.sends[0].attempt, attempt_failure::ConnectionLost);
+    ASSERT_EQ(retried.sends.size(), 1U);
+    Forward::replica_state &replica = Forward::replicaAt(m_context.replicaTable, retried.sends[0].replica);
+    m_now += 4s;
+    Forward::recordFailure(m_context.replicaTable, retried.sends[0].replica, attempt_failure::Withdrawn, m_now - 4s,
+                           m_now);
+    const auto ended = fail(retried.sends[0].attempt, attempt_failure::Withdrawn);
+    EXPECT_TRUE(ended.sends.empty()) << "the deadline has passed";
+    EXPECT_TRUE(ended.finished);
+    EXPECT_TRUE(replica.outstanding.empty());
+    EXPECT_FALSE(Forward::isAvoided(replica, m_now)) << "the replica had no part in it";
+    EXPECT_TRUE(Forward::tryTakeRetry(m_context.replicaTable.services[0]->retryBudget,
+                                      m_context.replicaTable.retryLimits, m_now));
+}
+
+/// The replica is removed while the attempt waits for a connection.
+TEST_F(request_events_test, WithdrawnAttemptMovesToAnotherReplicaWhileThereIsTime)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::AtMostOnce), 4000ms);
+    const auto moved = fail(started.sends[0].attempt, attempt_failure::Withdrawn);
+    ASSERT_EQ(moved.sends.size(), 1U);
+    EXPECT_NE(moved.sends[0].replica, started.sends[0].replica);
+    EXPECT_EQ(answer(moved.sends[0].attempt).finished, request_outcome::Answered);
+}
+
+/// The process stood still beyond the caller's deadline, with a hedge due in between.
+TEST_F(request_events_test, SendsNoHedgeAfterTheCallersDeadline)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::Idempotent), 4000ms);
+    m_now += 5s;
+    const auto woken = Forward::onTimer(m_request, m_context, m_now);
+    EXPECT_TRUE(woken.sends.empty());
+    EXPECT_EQ(woken.finished, request_outcome::TimedOut);
+    EXPECT_EQ(started.sends.size(), 1U);
+}
+
 TEST_F(request_events_test, AppliesTheShorterOfCallerAndRouteTimeout)
 {
     addReplicas(1);
--- a/Tests/LibFront/TestReplicaConnection.cpp
+++ b/Tests/LibFront/TestReplicaConnection.cpp
@@ -28,8 +28,8 @@
         exchange.ticket = ++m_ticket;
         exchange.requestId = requestId;
         exchange.isHead = isHead;
-        exchange.makeText = [](Core::time_point) {
-            return std::string("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        exchange.makeText = [this](Core::time_point) {
+            return m_isWithdrawn ? std::nullopt : std::optional<std::string>("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
         };
         exchange.onComplete = [this](Front::exchange_result result) {
             m_result = std::move(result);
@@ -50,6 +50,7 @@
     std::optional<Front::exchange_result> m_result;
     std::uint64_t m_ticket = 0;
     int m_changes = 0;
+    bool m_isWithdrawn = false; ///< Requests are withdrawn when they could be sent.
 };
 } // namespace
 
@@ -196,6 +197,24 @@
     EXPECT_EQ(m_result->failure, Forward::attempt_failure::NotSent);
 }
 
+/// The deadline passes while the connection opens. Nothing is sent, and the connection serves the next request.
+TEST_F(replica_connection_test, SendsNothingWhenRequestIsWithdrawnBeforeConnectionOpens)
+{
+    std::string received;
+    raw_server server(m_loop, [&](raw_connection &peer) {
+        received += peer.received;
+        peer.send(completeResponse);
+    });
+    m_isWithdrawn = true;
+    EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::Withdrawn);
+    EXPECT_EQ(received, "");
+    ASSERT_TRUE(m_connection->isUsable(true, std::chrono::steady_clock::now()));
+    m_isWithdrawn = false;
+    send("one");
+    ASSERT_TRUE(runUntil([this]() { return m_result.has_value(); }));
+    EXPECT_TRUE(m_result->reply);
+}
+
 /// The request was sent before the connection closed, so the replica may have executed it.
 TEST_F(replica_connection_test, ReportsBrokenWhenConnectionClosesAfterRequest)
 {
