LibMembership: Direct callers to a few active daemons of each data centre

Cause: callers were spread over all daemons, so that at 295 each saw 0.4 queries a second: cold connections, no latency estimates, and a part of the shared limits too small to use. A gather over 90 shards also costs a VM of 0.12 cores four times the time of one of 0.5. Change: a pure function of the membership view selects the active members by capacity, replaces a single overloaded one and grows when most are overloaded. Active members send heartbeat messages, so that a lost one is replaced after 2.2 s instead of 12 s.

--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -4,10 +4,12 @@
 
 #include "LibFront/DecisionLog.h"
 #include "LibFront/Endpoint.h"
+#include "LibMembership/ActiveSet.h"
 #include "LibMembership/Gossip.h"
 #include "LibMembership/MemberStatus.h"
 #include "LibMembership/Membership.h"
 
+#include <algorithm>
 #include <ctime>
 #include <random>
 #include <utility>
@@ -55,6 +57,41 @@
     m_suspendedTotal = suspendedTotal();
     receive();
     runRound(std::chrono::steady_clock::now());
+    if (m_topology != nullptr) {
+        sendHeartbeats(std::chrono::steady_clock::now());
+    }
+}
+
+void peer_exchange::setActiveSet(std::size_t minimumActiveMembers,
+                                 const Configuration::configuration_document &topology)
+{
+    m_settings.minimumActiveMembers = minimumActiveMembers;
+    m_topology = &topology;
+}
+
+void peer_exchange::setOverloaded(bool overloaded)
+{
+    if (Membership::setOverloaded(m_table, overloaded)) {
+        m_log.writeAlways("overload", {{"overloaded", overloaded}});
+    }
+}
+
+void peer_exchange::sendHeartbeats(Core::time_point now)
+{
+    const Membership::active_sets active = Membership::activeMembers(m_table, m_settings, *m_topology, now);
+    const auto own = active.find(m_table.self.dataCentre);
+    const bool isActive =
+        own != active.end() && std::find(own->second.begin(), own->second.end(), &m_table.self) != own->second.end();
+    if (isActive) {
+        const Membership::gossip_message message = Membership::makeHeartbeat(m_table, m_settings, active, now);
+        const std::string bytes = encodeDatagram(datagram_kind::Reply, message);
+        for (const std::string &target :
+             Membership::chooseHeartbeatTargets(m_table, m_settings, active, now, m_random)) {
+            sendBytes(target, bytes);
+        }
+    }
+    detectFleetChange(now);
+    m_timers.schedule(now + m_settings.heartbeatInterval, [this](Core::time_point due) { sendHeartbeats(due); });
 }
 
 Membership::member_table &peer_exchange::table()
@@ -133,7 +170,9 @@
     std::string fleet;
     for (const auto &[name, member] : m_table.members) {
         const auto status = Membership::statusOf(m_table, member, m_settings, now);
-        if (status == Membership::member_status::Live && !member.record.leaving) {
+        const bool isServing = status == Membership::member_status::Live && !member.record.leaving
+            && !Membership::isSilent(member, m_settings, now);
+        if (isServing) {
             fleet += name + " ";
         }
     }
@@ -213,6 +252,11 @@
 }
 
 void peer_exchange::sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message)
+{
+    sendBytes(address, encodeDatagram(kind, message));
+}
+
+void peer_exchange::sendBytes(const std::string &address, const std::string &bytes)
 {
     const std::optional<Front::endpoint> target = Front::parseEndpoint(address);
     if (!target) {
@@ -220,7 +264,6 @@
         return;
     }
     boost::system::error_code error;
-    const std::string bytes = encodeDatagram(kind, message);
     m_socket.send_to(boost::asio::buffer(bytes), {target->address, target->port}, 0, error);
     if (error) {
         m_log.write("peer_send_failed", {{"address", address}, {"error", error.message()}});
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -14,6 +14,11 @@
 #include <string>
 #include <string_view>
 
+namespace Configuration
+{
+struct configuration_document;
+}
+
 namespace Front
 {
 class decision_log;
@@ -44,11 +49,16 @@
     using merge_function = std::function<void(const Membership::keyed_blob &)>;
     void setBlobHandlers(produce_function produce, merge_function merge);
 
+    /// Makes the active members exchange heartbeat messages. `topology` must outlive this object.
+    void setActiveSet(std::size_t minimumActiveMembers, const Configuration::configuration_document &topology);
+
     /// Binds the socket and runs the first round. Throws boost::system::system_error if the port cannot be bound.
     void start();
     /// Announces to all live members that this daemon leaves.
     void leave();
     void setConfigurationNumber(std::uint64_t number);
+    /// Publishes whether requests wait for this daemon's processor, with the next messages.
+    void setOverloaded(bool overloaded);
     /// Announces this daemon's configuration number to some members immediately, so that those that lag notice before
     /// the next rounds.
     void announce(Core::time_point now);
@@ -61,10 +71,12 @@
 
 private:
     void runRound(Core::time_point now);
+    void sendHeartbeats(Core::time_point now);
     void receive();
     void onDatagram(std::string_view bytes);
     void addBlobs(Membership::gossip_message &message);
     void sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message);
+    void sendBytes(const std::string &address, const std::string &bytes);
     void detectSuspension(Core::time_point now);
     void detectFleetChange(Core::time_point now);
 
@@ -72,6 +84,7 @@
     Front::decision_log &m_log;
     Membership::member_table m_table;
     Membership::membership_settings m_settings;
+    const Configuration::configuration_document *m_topology = nullptr; ///< Set if active members send heartbeats.
     change_function m_onChange;
     round_function m_onRound;
     produce_function m_produceBlobs;
--- a/Libraries/LibFront/TimerQueue.cpp
+++ b/Libraries/LibFront/TimerQueue.cpp
@@ -23,6 +23,18 @@
     m_tasks.erase(scheduled);
 }
 
+std::optional<Core::duration> timer_queue::takeMeanDelay()
+{
+    constexpr std::int64_t minimumCount = 8; // Fewer are not significant.
+    if (m_delayCount < minimumCount) {
+        return std::nullopt;
+    }
+    const Core::duration mean = m_totalDelay / m_delayCount;
+    m_totalDelay = {};
+    m_delayCount = 0;
+    return mean;
+}
+
 void timer_queue::arm()
 {
     if (m_tasks.empty()) {
@@ -43,6 +55,8 @@
     const Core::time_point now = std::chrono::steady_clock::now();
     while (!m_tasks.empty() && m_tasks.begin()->first <= now) {
         const task callback = std::move(m_tasks.begin()->second);
+        m_totalDelay += now - m_tasks.begin()->first;
+        ++m_delayCount;
         m_tasks.erase(m_tasks.begin());
         callback(now);
     }
--- a/Libraries/LibFront/TimerQueue.h
+++ b/Libraries/LibFront/TimerQueue.h
@@ -5,8 +5,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace Front
 {
@@ -24,6 +26,8 @@
     handle schedule(Core::time_point when, task callback);
     /// Removes a task that has not run yet.
     void cancel(handle scheduled);
+    /// Returns the mean delay with which tasks ran since the last mean was returned; nothing if too few have run.
+    [[nodiscard]] std::optional<Core::duration> takeMeanDelay();
 
 private:
     void arm();
@@ -32,5 +36,7 @@
     boost::asio::steady_timer m_timer;
     std::multimap<Core::time_point, task> m_tasks;
     Core::time_point m_armedFor = Core::time_point::max();
+    Core::duration m_totalDelay {};
+    std::int64_t m_delayCount = 0;
 };
 } // namespace Front
--- a/Libraries/LibMembership/ChooseEntries.cpp
+++ b/Libraries/LibMembership/ChooseEntries.cpp
@@ -1,9 +1,8 @@
 #include "LibMembership/ChooseEntries.h"
 
-#include "LibConfiguration/ConfigurationDocument.h"
+#include "LibMembership/ActiveSet.h"
 #include "LibMembership/Distance.h"
-#include "LibMembership/MemberTable.h"
-#include "LibMembership/Membership.h"
+#include "LibMembership/MemberRecord.h"
 
 #include <algorithm>
 #include <array>
@@ -14,32 +13,15 @@
 static constexpr std::array<double, 3> weightByDistance {1.0, 0.02, 0.01};
 static constexpr std::array<std::size_t, 3> maximumEntriesByDistance {12, 4, 4};
 
-static bool isEligibleEntry(const member_record &record, const Configuration::configuration_document &document)
-{
-    // A daemon without a configuration rejects queries. If this daemon has none either, it cannot tell members apart by
-    // their configuration numbers and accepts all of them.
-    const bool isConfigured = record.configurationNumber > 0 || document.number == 0;
-    return !record.leaving && isConfigured && !record.callerAddress.empty() && !isOut(document, record.dataCentre);
-}
-
 std::vector<entry> chooseEntries(const member_table &table, const membership_settings &settings,
                                  const Configuration::configuration_document &document, const std::string &dataCentre,
                                  Core::time_point now, Core::random_engine &random)
 {
     std::array<std::vector<const member_record *>, 3> byDistance;
-    const auto add = [&](const member_record &record) {
-        if (isEligibleEntry(record, document)) {
-            const distance distanceRank = distanceBetween(document, dataCentre, record.dataCentre);
-            byDistance[static_cast<std::size_t>(distanceRank)].push_back(&record);
-        }
-    };
-    if (!isIsolated(table, settings, now)) {
-        add(table.self);
-    }
-    for (const auto &[name, member] : table.members) {
-        if (statusOf(table, member, settings, now) == member_status::Live) {
-            add(member.record);
-        }
+    for (const auto &[memberDataCentre, members] : activeMembers(table, settings, document, now)) {
+        const distance distanceRank = distanceBetween(document, dataCentre, memberDataCentre);
+        std::vector<const member_record *> &records = byDistance[static_cast<std::size_t>(distanceRank)];
+        records.insert(records.end(), members.begin(), members.end());
     }
     std::vector<entry> entries;
     for (std::size_t distanceRank = 0; distanceRank < byDistance.size(); ++distanceRank) {
--- a/Libraries/LibMembership/DigestEntry.h
+++ b/Libraries/LibMembership/DigestEntry.h
@@ -11,6 +11,7 @@
     /// How many numbers the member's configuration is behind the message's `newestNumber`; 255 means 255 or more.
     std::uint8_t lag = 0;
     bool leaving = false;
+    bool overloaded = false;
     bool operator==(const digest_entry &) const = default;
 };
 } // namespace Membership
--- a/Libraries/LibMembership/Gossip.cpp
+++ b/Libraries/LibMembership/Gossip.cpp
@@ -1,5 +1,6 @@
 #include "LibMembership/Gossip.h"
 
+#include "LibMembership/ActiveSet.h"
 #include "LibMembership/MemberTable.h"
 #include "LibMembership/Membership.h"
 #include "LibMembership/MembershipSettings.h"
@@ -22,6 +23,7 @@
     const std::uint64_t lag = newestNumber - std::min(newestNumber, record.configurationNumber);
     entry.lag = static_cast<std::uint8_t>(std::min<std::uint64_t>(lag, unknownLag));
     entry.leaving = record.leaving;
+    entry.overloaded = record.overloaded;
     return entry;
 }
 
@@ -72,6 +74,25 @@
     return message;
 }
 
+gossip_message makeHeartbeat(member_table &table, const membership_settings &settings, const active_sets &active,
+                             Core::time_point now)
+{
+    ++table.self.heartbeat;
+    gossip_message message = makeMessage(table);
+    message.isHeartbeat = true;
+    for (const auto &[dataCentre, members] : active) {
+        for (const member_record *member : members) {
+            const auto found = table.members.find(member->name);
+            const bool isHeard = found != table.members.end() && found->second.advancedDirectly
+                && !isSilent(found->second, settings, now);
+            if (isHeard && message.digest.size() < settings.maximumDigestEntries) {
+                message.digest.push_back(makeDigestEntry(*member, message.newestNumber));
+            }
+        }
+    }
+    return message;
+}
+
 static void addUnsolicitedRecords(member_table &table, gossip_message &message, const membership_settings &settings)
 {
     for (auto &[name, member] : table.members) {
@@ -127,8 +148,22 @@
     return addresses;
 }
 
-/// Returns the addresses to probe for daemons that gossip does not report as alive: dead members, VMs of the platform's
-/// list that are not members and, without any members, the seed addresses.
+std::vector<std::string> chooseHeartbeatTargets(const member_table &table, const membership_settings &settings,
+                                                const active_sets &active, Core::time_point now,
+                                                Core::random_engine &random)
+{
+    std::vector<std::string> targets = livePeerAddresses(table, settings, target_scope::OwnDataCentre, now);
+    for (const auto &[dataCentre, members] : active) {
+        if (dataCentre != table.self.dataCentre && !members.empty()) {
+            std::uniform_int_distribution<std::size_t> distribution(0, members.size() - 1);
+            targets.push_back(members[distribution(random)]->peerAddress);
+        }
+    }
+    return targets;
+}
+
+/// Returns the addresses to probe for daemons that gossip does not report as alive: dead members, and VMs of the
+/// platform's list and seeds that are not members.
 static std::vector<std::string> probePeerAddresses(const member_table &table, const membership_settings &settings,
                                                    Core::time_point now)
 {
@@ -143,8 +178,13 @@
             addresses.push_back(vm.peerAddress);
         }
     }
-    if (table.members.empty()) {
-        addresses.insert(addresses.end(), table.seedAddresses.begin(), table.seedAddresses.end());
+    // A seed that is not a member may know a part of the fleet that this daemon has never heard of.
+    for (const std::string &seed : table.seedAddresses) {
+        const bool isMember = std::any_of(table.members.begin(), table.members.end(),
+                                          [&](const auto &member) { return member.second.record.peerAddress == seed; });
+        if (!isMember) {
+            addresses.push_back(seed);
+        }
     }
     return addresses;
 }
@@ -189,14 +229,18 @@
     return difference > 0 ? known + static_cast<std::uint64_t>(difference) : known;
 }
 
-static void mergeDigestEntry(member_table &table, const digest_entry &entry, std::uint64_t newest, Core::time_point now)
+static void mergeDigestEntry(member_table &table, const digest_entry &entry, const gossip_message &message,
+                             Core::time_point now)
 {
     member_state &member = table.members.at(table.namesById.at(entry.id));
     const std::uint64_t heartbeat = extendHeartbeat(member.record.heartbeat, entry.heartbeat);
     if (heartbeat > member.record.heartbeat) {
         member.record.heartbeat = heartbeat;
+        member.record.overloaded = entry.overloaded;
         member.heartbeatAdvancedAt = now;
+        member.advancedDirectly = message.isHeartbeat;
     }
+    const std::uint64_t newest = message.newestNumber;
     member.record.leaving = member.record.leaving || entry.leaving;
     if (entry.lag != unknownLag && newest >= entry.lag) {
         member.record.configurationNumber = std::max(member.record.configurationNumber, newest - entry.lag);
@@ -215,7 +259,7 @@
     std::vector<std::uint32_t> missingIds;
     for (const digest_entry &entry : message.digest) {
         if (table.namesById.contains(entry.id)) {
-            mergeDigestEntry(table, entry, message.newestNumber, now);
+            mergeDigestEntry(table, entry, message, now);
         } else if (entry.id != own && missingIds.size() < settings.maximumRequestedRecords) {
             missingIds.push_back(entry.id);
         }
--- a/Libraries/LibMembership/Gossip.h
+++ b/Libraries/LibMembership/Gossip.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Time.h"
+#include "LibMembership/ActiveSet.h"
 #include "LibMembership/GossipMessage.h"
 
 #include <optional>
@@ -32,6 +33,18 @@
 /// Returns a message that carries only this daemon's own digest entry.
 [[nodiscard]] gossip_message makeAnnouncement(const member_table &table);
 
+/// Advances this daemon's heartbeat and returns the heartbeat message of an active member, for
+/// chooseHeartbeatTargets(). It passes on the heartbeats of the other active members. Not answered.
+[[nodiscard]] gossip_message makeHeartbeat(member_table &table, const membership_settings &settings,
+                                           const active_sets &active, Core::time_point now);
+
+/// Returns the peers that an active member sends its heartbeat messages to: every live member of its data centre, and
+/// one active member of each other data centre, which passes it on there.
+[[nodiscard]] std::vector<std::string> chooseHeartbeatTargets(const member_table &table,
+                                                              const membership_settings &settings,
+                                                              const active_sets &active, Core::time_point now,
+                                                              Core::random_engine &random);
+
 /// Merges a peer's message and returns the reply.
 [[nodiscard]] gossip_message onGossip(member_table &table, const gossip_message &message,
                                       const membership_settings &settings, Core::time_point now);
--- a/Libraries/LibMembership/GossipMessage.h
+++ b/Libraries/LibMembership/GossipMessage.h
@@ -20,5 +20,7 @@
     std::vector<member_record> records; ///< Complete records: new ones, and those that the receiver requested.
     std::vector<std::uint32_t> requestedIds; ///< Identifiers of the records that the sender requests.
     std::vector<keyed_blob> blobs;
+    /// The message was sent because the sender is active: its digest holds itself and the active members it has heard.
+    bool isHeartbeat = false;
 };
 } // namespace Membership
--- a/Libraries/LibMembership/MemberState.h
+++ b/Libraries/LibMembership/MemberState.h
@@ -9,6 +9,7 @@
 struct member_state {
     member_record record;
     Core::time_point heartbeatAdvancedAt; ///< When its heartbeat last advanced, as reported by any peer.
+    bool advancedDirectly = false; ///< The last advance came with a heartbeat message, not with a gossip round.
     int remainingTransmissions = 0; ///< Number of further messages that carry its record without a request.
 };
 } // namespace Membership
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -33,7 +33,12 @@
     bool changed = false;
     if (record.heartbeat > member.record.heartbeat) {
         member.record.heartbeat = record.heartbeat;
+        member.record.overloaded = record.overloaded;
         member.heartbeatAdvancedAt = now;
+        member.advancedDirectly = false;
+        changed = true;
+    } else if (record.heartbeat == member.record.heartbeat && record.overloaded && !member.record.overloaded) {
+        member.record.overloaded = true;
         changed = true;
     }
     if (record.configurationNumber > member.record.configurationNumber) {
@@ -69,7 +74,7 @@
     }
     // To a new daemon each record is new, but the other members already have it: it is not relayed.
     const bool isNew = table.round < static_cast<std::uint64_t>(settings.startupRounds);
-    table.members[record.name] = {record, now, isNew ? 0 : settings.recordTransmissions};
+    table.members[record.name] = {record, now, false, isNew ? 0 : settings.recordTransmissions};
     table.namesById[recordId(record.name, record.incarnation)] = record.name;
     return true;
 }
@@ -106,6 +111,16 @@
     }
 }
 
+bool setOverloaded(member_table &table, bool overloaded)
+{
+    const bool changed = table.self.overloaded != overloaded;
+    if (changed) {
+        table.self.overloaded = overloaded;
+        ++table.self.heartbeat;
+    }
+    return changed;
+}
+
 static void eraseMember(member_table &table, const std::string &name)
 {
     const auto found = table.members.find(name);
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -42,6 +42,9 @@
 /// The silence of members during the suspension is no evidence of their death.
 void skipSuspendedTime(member_table &table, Core::duration gap);
 
+/// Records whether requests wait for this daemon's processor. Returns whether that is a change.
+bool setOverloaded(member_table &table, bool overloaded);
+
 /// Records the configuration number that this daemon has in force.
 void setConfigurationNumber(member_table &table, std::uint64_t number);
 
--- a/Libraries/LibMembership/MembershipSettings.h
+++ b/Libraries/LibMembership/MembershipSettings.h
@@ -26,6 +26,11 @@
     int roundsPerProbe = 4; ///< Rounds between probes of a member that is not live.
     int roundsPerRemoteMessage =
         1; ///< Rounds between messages that may go to another data centre; raise it where traffic is costly.
+    /// Members of each data centre that callers are directed to while none of them is overloaded; 0: all members.
+    std::size_t minimumActiveMembers = 0;
+    std::chrono::milliseconds heartbeatInterval {500}; ///< Between two heartbeat messages of an active member.
+    /// Time after which an active member without heartbeats is replaced; some heartbeats may be lost.
+    std::chrono::milliseconds heartbeatTimeout {2200};
     int announcementFanOut = 3; ///< Peers that are notified immediately of a new configuration number.
 };
 } // namespace Membership
--- a/Libraries/LibWire/GossipCodec.cpp
+++ b/Libraries/LibWire/GossipCodec.cpp
@@ -21,6 +21,8 @@
     builder.setDataCentre(textOf(record.dataCentre));
     builder.setLeaving(record.leaving);
     builder.setConfigurationNumber(record.configurationNumber);
+    builder.setOverloaded(record.overloaded);
+    builder.setCapacity(record.capacity);
 }
 
 static Membership::member_record decodeRecord(Schema::MemberRecord::Reader reader)
@@ -34,6 +36,8 @@
     record.dataCentre = stringOf(reader.getDataCentre());
     record.leaving = reader.getLeaving();
     record.configurationNumber = reader.getConfigurationNumber();
+    record.overloaded = reader.getOverloaded();
+    record.capacity = reader.getCapacity();
     return record;
 }
 
@@ -46,6 +50,7 @@
         builder[index].setHeartbeat(entry.heartbeat);
         builder[index].setLag(entry.lag);
         builder[index].setLeaving(entry.leaving);
+        builder[index].setOverloaded(entry.overloaded);
     }
 }
 
@@ -54,6 +59,7 @@
     builder.setSender(textOf(message.sender));
     builder.setConfigurationNumber(message.configurationNumber);
     builder.setNewestNumber(message.newestNumber);
+    builder.setIsHeartbeat(message.isHeartbeat);
     encodeDigest(message.digest, builder.initDigest(listSize(message.digest)));
     auto records = builder.initRecords(listSize(message.records));
     for (unsigned index = 0; index < records.size(); ++index) {
@@ -76,8 +82,10 @@
     message.sender = stringOf(reader.getSender());
     message.configurationNumber = reader.getConfigurationNumber();
     message.newestNumber = reader.getNewestNumber();
+    message.isHeartbeat = reader.getIsHeartbeat();
     for (const auto entry : checkLength(reader.getDigest(), maximumListItems, "digest")) {
-        message.digest.push_back({entry.getId(), entry.getHeartbeat(), entry.getLag(), entry.getLeaving()});
+        message.digest.push_back(
+            {entry.getId(), entry.getHeartbeat(), entry.getLag(), entry.getLeaving(), entry.getOverloaded()});
     }
     for (const auto record : checkLength(reader.getRecords(), maximumListItems, "records")) {
         message.records.push_back(decodeRecord(record));
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -14,6 +14,8 @@
   dataCentre @5 :Text;
   leaving @6 :Bool;
   configurationNumber @7 :UInt64; # The number that the daemon has in force.
+  overloaded @8 :Bool;            # Requests wait for the daemon's processor.
+  capacity @9 :UInt32;            # Processor share in thousandths of a core; 0 if unknown.
 }
 
 struct KeyedBlob {
@@ -28,6 +30,7 @@
   heartbeat @1 :UInt16;           # Low bits of the heartbeat, compared as serial numbers.
   lag @2 :UInt8;                  # Numbers behind the message's newestNumber; 255: that many or more.
   leaving @3 :Bool;
+  overloaded @4 :Bool;
 }
 
 struct GossipMessage {
@@ -38,6 +41,7 @@
   wanted @4 :List(UInt32);        # Identifiers whose records the sender lacks.
   blobs @5 :List(KeyedBlob);
   newestNumber @6 :UInt64;        # The highest number of any member; lags count down from it.
+  isHeartbeat @7 :Bool;           # Sent by an active member apart from the rounds.
 }
 
 struct BranchRequest {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -119,7 +119,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 2, 5)
+        CAPNP_DECLARE_STRUCT_HEADER(c185dd3c22873005, 3, 5)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -604,6 +604,10 @@
 
     inline ::uint64_t getConfigurationNumber() const;
 
+    inline bool getOverloaded() const;
+
+    inline ::uint32_t getCapacity() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -687,6 +691,12 @@
     inline ::uint64_t getConfigurationNumber();
     inline void setConfigurationNumber(::uint64_t value);
 
+    inline bool getOverloaded();
+    inline void setOverloaded(bool value);
+
+    inline ::uint32_t getCapacity();
+    inline void setCapacity(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -862,6 +872,8 @@
 
     inline bool getLeaving() const;
 
+    inline bool getOverloaded() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -917,6 +929,9 @@
     inline bool getLeaving();
     inline void setLeaving(bool value);
 
+    inline bool getOverloaded();
+    inline void setOverloaded(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -988,6 +1003,8 @@
 
     inline ::uint64_t getNewestNumber() const;
 
+    inline bool getIsHeartbeat() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -1074,6 +1091,9 @@
     inline ::uint64_t getNewestNumber();
     inline void setNewestNumber(::uint64_t value);
 
+    inline bool getIsHeartbeat();
+    inline void setIsHeartbeat(bool value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -3862,6 +3882,34 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MemberRecord::Reader::getOverloaded() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool MemberRecord::Builder::getOverloaded()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setOverloaded(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t MemberRecord::Reader::getCapacity() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t MemberRecord::Builder::getCapacity()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setCapacity(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KeyedBlob::Reader::hasKey() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3996,6 +4044,20 @@
     _builder.setDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DigestEntry::Reader::getOverloaded() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS);
+}
+
+inline bool DigestEntry::Builder::getOverloaded()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS);
+}
+inline void DigestEntry::Builder::setOverloaded(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GossipMessage::Reader::hasSender() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4240,6 +4302,20 @@
     _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipMessage::Reader::getIsHeartbeat() const
+{
+    return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipMessage::Builder::getIsHeartbeat()
+{
+    return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setIsHeartbeat(bool value)
+{
+    _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BranchRequest::Reader::hasRequestId() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -41,6 +41,7 @@
 {
     member_record record = makeRecord("vm", *rc::gen::inRange<std::uint64_t>(1, 4), *rc::gen::inRange<int>(1, 6));
     record.leaving = *rc::gen::arbitrary<bool>();
+    record.overloaded = *rc::gen::arbitrary<bool>();
     record.configurationNumber = *rc::gen::inRange<std::uint64_t>(0, 5);
     return record;
 }
