LibForward: Share retries, cold requests and connections among the active daemons

Cause: each limit of the whole fleet was divided by all daemons: 1.07 retries a window at 295 daemons, most of it lost to rounding, and one connection a replica. Ruled out: leases in the store or by gossip; see docs/decisions/0076. Change: active daemons share the limits. Each data centre holds a fixed part of the retry slack, divided by the daemons that were active in the last two windows; a new one earns a sixth in its first window. Without a majority of its data centre a daemon holds none.

--- a/Libraries/LibForward/ReplicaTable.h
+++ b/Libraries/LibForward/ReplicaTable.h
@@ -23,9 +23,9 @@
     std::unordered_map<std::string, std::size_t> servicesByName;
     std::set<std::string> evacuatedDataCentres; ///< Replicas in them receive no new requests.
     retry_limits retryLimits;
-    std::size_t daemons = 1; ///< Live daemons, which share connections, retry slack and slow-start limits.
+    std::size_t daemons = 1; ///< Daemons that share connections and slow-start limits, this one included.
     std::uint64_t ownHash = 0; ///< Hash of this daemon's name.
-    std::vector<std::uint64_t> otherHashes; ///< Hashes of the other live daemons' names.
+    std::vector<std::uint64_t> otherHashes; ///< Hashes of the names of the others that share slow-start limits.
     double coldOvershoot = 1.0; ///< Tolerated multiple of a service's configured cold request rate.
     double coldSlack = 0.0; ///< Requests per second tolerated beyond that, over all daemons.
 };
--- a/Libraries/LibForward/RetryEvents.cpp
+++ b/Libraries/LibForward/RetryEvents.cpp
@@ -11,6 +11,11 @@
 /// Fraction of the ratio that is used: requests near the edge of a window may be counted in the next one.
 static constexpr double usedFraction = 0.9;
 
+/// Fraction of the slack that daemons hold.
+static constexpr double distributedFraction = 0.86;
+/// Fraction of a daemon's part that it earns within the first window; the total reaches the whole slack.
+static constexpr double initialFraction = (1.0 - distributedFraction) / distributedFraction;
+
 static std::int64_t bucketNumber(const retry_limits &limits, Core::time_point when)
 {
     // One bucket more than the window needs keeps every sliding window within the counted span.
@@ -41,18 +46,18 @@
     ++budget.firstAttempts[newestIndex(budget)];
 }
 
-double slackPerDaemon(double fleetSlack, std::size_t maximumFleetSize)
+double slackPerDaemon(double fleetSlack, std::size_t dataCentres, std::size_t holders)
 {
-    constexpr double distributedFraction = 0.5;
-    return fleetSlack * distributedFraction / static_cast<double>(std::max<std::size_t>(maximumFleetSize, 1));
+    const std::size_t parts = std::max<std::size_t>(dataCentres, 1) * std::max<std::size_t>(holders, 1);
+    return fleetSlack * distributedFraction / static_cast<double>(parts);
 }
 
-/// The slack accrues over the first window after the start, so that daemons that restart one after the other do not
-/// each gain a full part.
+/// In the first window after it became active, a daemon earns only the undistributed part of the slack: the daemon that
+/// it replaced may have used up the rest. However often daemons are replaced within a window, the sum stays in bounds.
 static double earnedSlack(const retry_limits &limits, Core::time_point now)
 {
-    const double age = Core::toSeconds(now - limits.startedAt) / Core::toSeconds(limits.window);
-    return limits.slack * std::clamp(age, 0.0, 1.0);
+    const double age = Core::toSeconds(now - limits.activeSince) / Core::toSeconds(limits.window);
+    return age >= 1.0 ? limits.slack : limits.slack * initialFraction * std::max(age, 0.0);
 }
 
 bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, Core::time_point now)
--- a/Libraries/LibForward/RetryEvents.h
+++ b/Libraries/LibForward/RetryEvents.h
@@ -9,9 +9,9 @@
 struct retry_budget;
 struct retry_limits;
 
-/// One daemon's part of the fleet's retry slack. Only half of the slack is distributed: a daemon that is replaced
-/// within a window has already used its part, and its successor earns the same amount again.
-[[nodiscard]] double slackPerDaemon(double fleetSlack, std::size_t maximumFleetSize);
+/// One active daemon's part of the fleet's retry slack. Each data centre has a fixed part, so that data centres that
+/// cannot reach each other stay within the total; `holders` daemons share it.
+[[nodiscard]] double slackPerDaemon(double fleetSlack, std::size_t dataCentres, std::size_t holders);
 
 /// Counts a first attempt at a service.
 void recordFirstAttempt(retry_budget &budget, const retry_limits &limits, Core::time_point now);
--- a/Libraries/LibForward/RetryLimits.h
+++ b/Libraries/LibForward/RetryLimits.h
@@ -9,6 +9,6 @@
     double ratio = 0.2; ///< Retries allowed for each first attempt; the same on all daemons.
     double slack = 0.0; ///< This daemon's part of the retries that each window allows regardless of traffic.
     Core::duration window = std::chrono::seconds(10);
-    Core::time_point startedAt {}; ///< When this daemon started to send requests.
+    Core::time_point activeSince {}; ///< Since when this daemon has held its part of the slack.
 };
 } // namespace Forward
