LibExchange, LibMembership: Ask the store less often in a large fleet

The fleet was fingerprinted by joining all names for each datagram. Ruled out: a longer tolerated lag, and followers of followers; see docs/decisions/0077. Change: watchers by capacity, one for each data centre; substitutes that the others look for; a rank decides who asks the store first. Responses of the feed are encoded once for all followers at the same positions. Heartbeats are sent by active daemons that are ready; other daemons no longer compute the active set for them.

--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -13,6 +13,7 @@
 static constexpr Core::duration sourceSwitchLag = 500ms;
 /// Long enough for a second source to deliver the missing update.
 static constexpr Core::duration storeFallbackLag = 1000ms;
+static constexpr Core::duration maximumFallbackDelay = 1500ms; ///< A lagging daemon may miss a configuration.
 static constexpr Core::duration storeFallbackDuration = 5s; ///< Failures of peers and links usually last a few seconds.
 /// A watcher follows another one when the store has not answered it for longer.
 static constexpr Core::duration maximumStoreOutage = 1500ms;
@@ -39,10 +40,12 @@
     // A source that was chosen only just now has not had time to deliver what the previous one failed to.
     const bool isSourceLagging =
         lag > sourceSwitchLag && !view.isWatchingStore && now - view.sourceSince > sourceSwitchLag;
-    if (!view.hasPeerContact || (isSourceLagging && lag > storeFallbackLag)) {
+    const Core::duration fallbackLag =
+        storeFallbackLag + std::min<Core::duration>(view.storeFallbackDelay, maximumFallbackDelay);
+    if (!view.hasPeerContact || (isSourceLagging && lag > fallbackLag)) {
         state.watchStoreUntil = now + storeFallbackDuration;
     }
-    decision.switchSource = isSourceLagging && lag <= storeFallbackLag;
+    decision.switchSource = isSourceLagging && lag <= fallbackLag;
     if (view.isWatchingStore && view.storeUnreachableFor > maximumStoreOutage && canFollow) {
         state.followUntil = now + followDuration;
         state.watchStoreUntil = now;
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -10,7 +10,6 @@
 #include "LibMembership/Membership.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace Exchange
@@ -19,10 +18,7 @@
 
 /// A daemon that has received nothing from any peer for several gossip rounds is cut off from the others.
 static constexpr Core::duration maximumPeerSilence = 1500ms;
-/// When no source answers, the daemons start to watch the store one after the other, so that the first that succeed can
-/// serve the rest. The delay is drawn from a range that grows with the number of members.
-static constexpr Core::duration startDelayPerDaemon = 40ms;
-static constexpr Core::duration maximumStartDelay = 2s;
+static constexpr Core::duration sourceSearchInterval = 400ms; ///< Between two attempts to find a source that answers.
 
 feed_control::feed_control(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
                            peer_exchange &exchange, Configuration::configuration_document topology,
@@ -56,25 +52,13 @@
                              }
                              return sources;
                          },
-                     .onUpdates = [this](const std::vector<feed_update> &updates) { applyUpdates(updates); },
-                     .onNoSource =
-                         [this]() {
-                             const Core::duration maximumDelay = std::min<Core::duration>(
-                                 startDelayPerDaemon * static_cast<std::int64_t>(m_exchange.table().members.size() + 1),
-                                 maximumStartDelay);
-                             const double fraction = std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
-                             m_isStartScheduled = true;
-                             m_timers.schedule(
-                                 std::chrono::steady_clock::now()
-                                     + std::chrono::duration_cast<Core::duration>(maximumDelay * fraction),
-                                 [this](Core::time_point now) {
-                                     m_isStartScheduled = false;
-                                     recordNoSource(m_decisionState, now);
-                                     decide(now);
-                                 });
+                     .onUpdates =
+                         [this](const std::vector<feed_update> &updates) {
+                             m_noSourceSince.reset();
+                             applyUpdates(updates);
                          },
+                     .onNoSource = [this]() { onNoSource(std::chrono::steady_clock::now()); },
                  })
-    , m_random(exchange.table().self.incarnation)
     , m_isSeed(isSeed)
 {
     for (const std::string &kind : kinds) {
@@ -82,6 +66,29 @@
     }
 }
 
+void feed_control::onNoSource(Core::time_point now)
+{
+    const Membership::feed_plan plan = Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_topology, now);
+    if (!m_noSourceSince) {
+        m_noSourceSince = now;
+    }
+    const bool asksStore = now - *m_noSourceSince >= plan.storeFallbackDelay;
+    m_isStartScheduled = true;
+    m_timers.schedule(asksStore ? now : now + sourceSearchInterval, [this, asksStore](Core::time_point due) {
+        m_isStartScheduled = false;
+        if (asksStore) {
+            m_noSourceSince.reset();
+            recordNoSource(m_decisionState, due);
+        }
+        decide(due);
+    });
+}
+
+bool feed_control::isAssignedToStore() const
+{
+    return m_isAssignedToStore;
+}
+
 feed_server &feed_control::server()
 {
     return m_server;
@@ -154,7 +161,9 @@
     const Membership::feed_plan plan = Membership::planFeed(m_exchange.table(), m_exchange.settings(), m_topology, now);
     const Membership::member_table &table = m_exchange.table();
     feed_view view;
+    m_isAssignedToStore = plan.watchesStore;
     view.watchesStore = plan.watchesStore || (m_isSeed && !m_isComplete);
+    view.storeFallbackDelay = plan.storeFallbackDelay;
     view.hasSources = !plan.sources.empty() || (!m_isComplete && !table.seedAddresses.empty());
     view.hasPeerContact = table.members.empty() || now - table.lastPeerMessageAt < maximumPeerSilence;
     view.ownNumber = m_progressNumber;
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "LibConfiguration/ConfigurationDocument.h"
-#include "LibCore/RandomEngine.h"
 #include "LibExchange/FeedDecisionState.h"
 #include "LibExchange/FeedFollower.h"
 #include "LibExchange/FeedServer.h"
@@ -41,10 +40,14 @@
     void decide(Core::time_point now);
 
     [[nodiscard]] bool isComplete() const;
+    /// Returns whether this daemon is one of those that watch the store for the others.
+    [[nodiscard]] bool isAssignedToStore() const;
     [[nodiscard]] feed_server &server();
     [[nodiscard]] const feed_server::states &states() const;
 
 private:
+    /// Looks for a source again after a while, or asks the store once this daemon's turn has come.
+    void onNoSource(Core::time_point now);
     void startWatchingStore();
     void startFollowing();
     void updateSourceRole(Core::time_point now);
@@ -58,12 +61,13 @@
     feed_server m_server;
     feed_follower m_follower;
     feed_decision_state m_decisionState;
-    Core::random_engine m_random;
     std::optional<Core::time_point> m_storeUnreachableSince;
+    std::optional<Core::time_point> m_noSourceSince; ///< Since when no source has answered.
     std::uint64_t m_progressNumber = 0; ///< Result of `progressNumber`; announced to peers.
     bool m_isSeed; ///< This daemon is a seed, which new daemons ask first.
     bool m_isWatchingStore = false;
     bool m_isComplete = false;
-    bool m_isStartScheduled = false; ///< No source answers; the staggered start of the store watches is scheduled.
+    bool m_isAssignedToStore = false;
+    bool m_isStartScheduled = false; ///< No source answers; the next attempt is scheduled.
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedFollower.cpp
+++ b/Libraries/LibExchange/FeedFollower.cpp
@@ -7,6 +7,7 @@
 #include "LibFront/Endpoint.h"
 #include "LibFront/HttpChannel.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Exchange
@@ -18,6 +19,8 @@
 static constexpr Core::duration longPollWait = 20s;
 static constexpr Core::duration requestTimeoutMargin = 1s; ///< Added to the wait before the request times out.
 static constexpr Core::duration sourceRetryDelay = 2s; ///< A source may have reconnected to the store by then.
+/// A daemon that has tried all sources has nothing better to do than to ask them again.
+static constexpr Core::duration exhaustedRetryDelay = 300ms;
 
 feed_follower::feed_follower(boost::asio::io_context &loop, Front::timer_queue &timers, Front::decision_log &log,
                              callbacks hooks)
@@ -80,6 +83,9 @@
     }
     const std::optional<Front::endpoint> address = chosen ? Front::parseEndpoint(*chosen) : std::nullopt;
     if (!address) {
+        for (auto &[source, until] : m_avoidUntil) {
+            until = std::min(until, now + exhaustedRetryDelay);
+        }
         stop();
         m_hooks.onNoSource();
         return;
--- a/Libraries/LibExchange/FeedServer.cpp
+++ b/Libraries/LibExchange/FeedServer.cpp
@@ -90,10 +90,12 @@
     inserted->deadline = m_timers.schedule(std::chrono::steady_clock::now() + std::chrono::milliseconds(*wait),
                                            [this, inserted](Core::time_point) {
                                                inserted->deadline.reset();
-                                               answer(inserted);
+                                               encoded_changes encoded;
+                                               answer(inserted, encoded);
                                            });
     if (hasChangesFor(*inserted)) {
-        answer(inserted);
+        encoded_changes encoded;
+        answer(inserted, encoded);
         return {};
     }
     return [this, inserted, isPending]() {
@@ -120,19 +122,28 @@
     return false;
 }
 
-void feed_server::answer(waiting_requests::iterator waiting)
+std::string feed_server::encodeChangesAfter(const positions_by_kind &positions) const
+{
+    std::vector<feed_update> updates;
+    for (const auto &[kind, position] : positions) {
+        updates.push_back(changesAfter(m_states.at(kind), kind, position));
+    }
+    return encodeFeed(updates);
+}
+
+void feed_server::answer(waiting_requests::iterator waiting, encoded_changes &encoded)
 {
     if (waiting->deadline) {
         m_timers.cancel(*waiting->deadline);
     }
     Front::answer result;
     if (m_isSource) {
-        std::vector<feed_update> updates;
-        for (const auto &[kind, position] : waiting->positions) {
-            updates.push_back(changesAfter(m_states.at(kind), kind, position));
+        const auto [found, isNew] = encoded.try_emplace(waiting->positions);
+        if (isNew) {
+            found->second = encodeChangesAfter(waiting->positions);
         }
         result.status = 200;
-        result.body = encodeFeed(updates);
+        result.body = found->second;
     } else {
         result = Front::errorAnswer(503, "this daemon does not hear from the store");
     }
@@ -143,10 +154,11 @@
 
 void feed_server::answerReady()
 {
+    encoded_changes encoded; // Most followers have the same positions.
     for (auto next = m_waiting.begin(); next != m_waiting.end();) {
         const auto waiting = next++;
         if (!m_isSource || hasChangesFor(*waiting)) {
-            answer(waiting);
+            answer(waiting, encoded);
         }
     }
 }
--- a/Libraries/LibExchange/FeedServer.h
+++ b/Libraries/LibExchange/FeedServer.h
@@ -32,15 +32,20 @@
     void notifyWaiting();
 
 private:
+    using positions_by_kind = std::map<std::string, std::uint64_t>;
+    using encoded_changes = std::map<positions_by_kind, std::string>; ///< Responses, by the positions they follow.
+
     struct waiting_request {
-        std::map<std::string, std::uint64_t> positions; ///< By kind.
+        positions_by_kind positions;
         Front::reply_function reply;
         std::optional<Front::timer_queue::handle> deadline;
     };
     using waiting_requests = std::list<waiting_request>;
 
     [[nodiscard]] bool hasChangesFor(const waiting_request &waiting) const;
-    void answer(waiting_requests::iterator waiting);
+    [[nodiscard]] std::string encodeChangesAfter(const positions_by_kind &positions) const;
+    /// Answers one request. Responses are taken from and added to `encoded`.
+    void answer(waiting_requests::iterator waiting, encoded_changes &encoded);
     void answerReady();
 
     Front::timer_queue &m_timers;
--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -9,7 +9,8 @@
 #include "LibMembership/MemberStatus.h"
 #include "LibMembership/Membership.h"
 
-#include <algorithm>
+#include <boost/container_hash/hash.hpp>
+
 #include <ctime>
 #include <random>
 #include <utility>
@@ -57,9 +58,6 @@
     m_suspendedTotal = suspendedTotal();
     receive();
     runRound(std::chrono::steady_clock::now());
-    if (m_topology != nullptr) {
-        sendHeartbeats(std::chrono::steady_clock::now());
-    }
 }
 
 void peer_exchange::setActiveSet(std::size_t minimumActiveMembers,
@@ -76,21 +74,26 @@
     }
 }
 
+void peer_exchange::setActive(bool active)
+{
+    m_isActive = active;
+    if (active && !m_isHeartbeatScheduled) {
+        sendHeartbeats(std::chrono::steady_clock::now());
+    }
+}
+
 void peer_exchange::sendHeartbeats(Core::time_point now)
 {
+    m_isHeartbeatScheduled = m_isActive && !m_table.self.leaving;
+    if (!m_isHeartbeatScheduled) {
+        return;
+    }
     const Membership::active_sets active = Membership::activeMembers(m_table, m_settings, *m_topology, now);
-    const auto own = active.find(m_table.self.dataCentre);
-    const bool isActive =
-        own != active.end() && std::find(own->second.begin(), own->second.end(), &m_table.self) != own->second.end();
-    if (isActive) {
-        const Membership::gossip_message message = Membership::makeHeartbeat(m_table, m_settings, active, now);
-        const std::string bytes = encodeDatagram(datagram_kind::Reply, message);
-        for (const std::string &target :
-             Membership::chooseHeartbeatTargets(m_table, m_settings, active, now, m_random)) {
-            sendBytes(target, bytes);
-        }
+    const std::string bytes =
+        encodeDatagram(datagram_kind::Reply, Membership::makeHeartbeat(m_table, m_settings, active, now));
+    for (const std::string &target : Membership::chooseHeartbeatTargets(m_table, m_settings, active, now, m_random)) {
+        sendBytes(target, bytes);
     }
-    detectFleetChange(now);
     m_timers.schedule(now + m_settings.heartbeatInterval, [this](Core::time_point due) { sendHeartbeats(due); });
 }
 
@@ -109,16 +112,6 @@
     return m_settings;
 }
 
-std::size_t peer_exchange::liveCount(Core::time_point now) const
-{
-    std::size_t count = m_table.self.leaving ? 0 : 1;
-    for (const auto &[name, member] : m_table.members) {
-        const auto status = Membership::statusOf(m_table, member, m_settings, now);
-        count += status == Membership::member_status::Live && !member.record.leaving ? 1 : 0;
-    }
-    return count;
-}
-
 void peer_exchange::leave()
 {
     Membership::leave(m_table);
@@ -165,22 +158,35 @@
     }
 }
 
+bool peer_exchange::isServing(const Membership::member_state &member, Core::time_point now) const
+{
+    return Membership::statusOf(m_table, member, m_settings, now) == Membership::member_status::Live
+        && !member.record.leaving && !Membership::isSilent(member, m_settings, now);
+}
+
 void peer_exchange::detectFleetChange(Core::time_point now)
 {
+    // The names are joined only after a change, since this runs for every datagram.
+    std::size_t fingerprint = 0;
+    for (const auto &[name, member] : m_table.members) {
+        if (isServing(member, now)) {
+            boost::hash_combine(fingerprint, &member);
+            boost::hash_combine(fingerprint, member.record.incarnation);
+        }
+    }
+    if (fingerprint == m_liveFingerprint) {
+        return;
+    }
+    m_liveFingerprint = fingerprint;
     std::string fleet;
     for (const auto &[name, member] : m_table.members) {
-        const auto status = Membership::statusOf(m_table, member, m_settings, now);
-        const bool isServing = status == Membership::member_status::Live && !member.record.leaving
-            && !Membership::isSilent(member, m_settings, now);
-        if (isServing) {
+        if (isServing(member, now)) {
             fleet += name + " ";
         }
     }
-    if (fleet != m_liveFleet) {
-        m_log.write("fleet", {{"live", fleet}, {"before", m_liveFleet}});
-        m_liveFleet = std::move(fleet);
-        m_onChange();
-    }
+    m_log.write("fleet", {{"live", fleet}, {"before", m_liveFleet}});
+    m_liveFleet = std::move(fleet);
+    m_onChange();
 }
 
 void peer_exchange::runRound(Core::time_point now)
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -49,7 +49,7 @@
     using merge_function = std::function<void(const Membership::keyed_blob &)>;
     void setBlobHandlers(produce_function produce, merge_function merge);
 
-    /// Makes the active members exchange heartbeat messages. `topology` must outlive this object.
+    /// Sets how many members of each data centre are active at least. `topology` must outlive this object.
     void setActiveSet(std::size_t minimumActiveMembers, const Configuration::configuration_document &topology);
 
     /// Binds the socket and runs the first round. Throws boost::system::system_error if the port cannot be bound.
@@ -57,6 +57,8 @@
     /// Announces to all live members that this daemon leaves.
     void leave();
     void setConfigurationNumber(std::uint64_t number);
+    /// Makes this daemon send heartbeat messages while it is active.
+    void setActive(bool active);
     /// Publishes whether requests wait for this daemon's processor, with the next messages.
     void setOverloaded(bool overloaded);
     /// Announces this daemon's configuration number to some members immediately, so that those that lag notice before
@@ -66,8 +68,6 @@
     [[nodiscard]] Membership::member_table &table();
     [[nodiscard]] const Membership::member_table &table() const;
     [[nodiscard]] const Membership::membership_settings &settings() const;
-    /// Returns the number of live daemons that are not leaving, including this one.
-    [[nodiscard]] std::size_t liveCount(Core::time_point now) const;
 
 private:
     void runRound(Core::time_point now);
@@ -77,6 +77,7 @@
     void addBlobs(Membership::gossip_message &message);
     void sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message);
     void sendBytes(const std::string &address, const std::string &bytes);
+    [[nodiscard]] bool isServing(const Membership::member_state &member, Core::time_point now) const;
     void detectSuspension(Core::time_point now);
     void detectFleetChange(Core::time_point now);
 
@@ -84,7 +85,7 @@
     Front::decision_log &m_log;
     Membership::member_table m_table;
     Membership::membership_settings m_settings;
-    const Configuration::configuration_document *m_topology = nullptr; ///< Set if active members send heartbeats.
+    const Configuration::configuration_document *m_topology = nullptr; ///< Set with the size of the active set.
     change_function m_onChange;
     round_function m_onRound;
     produce_function m_produceBlobs;
@@ -93,7 +94,10 @@
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer {}; ///< Large enough for any datagram.
     Core::random_engine m_random;
-    std::string m_liveFleet; ///< Names of the live members that are not leaving, to detect changes.
+    std::string m_liveFleet; ///< Names of the members that serve callers, as of the latest change.
+    std::size_t m_liveFingerprint = 0; ///< Of the members that serve callers, to detect changes.
+    bool m_isActive = false;
+    bool m_isHeartbeatScheduled = false;
     Core::time_point m_announcedAt;
     Core::duration m_suspendedTotal {}; ///< Total time that the VM was suspended, as of the latest round.
 };
--- a/Libraries/LibForward/SharedLimits.cpp
+++ b/Libraries/LibForward/SharedLimits.cpp
@@ -56,6 +56,7 @@
                         const Configuration::configuration_document &topology, Core::time_point now)
 {
     const active_view view = viewOf(Membership::activeMembers(members, settings, topology, now), members.self);
+    state.isActive = view.includesSelf;
     // A window, and the time after which a replaced daemon's last retries have left every window.
     const Core::duration retention = 2 * fleetLimits.window;
     const std::size_t holders = countRecentlyActive(state.ownDataCentre, view.ownDataCentre, retention, now);
--- a/Libraries/LibMembership/FeedPlan.h
+++ b/Libraries/LibMembership/FeedPlan.h
@@ -18,7 +18,11 @@
 /// The sources from which this daemon receives store updates.
 struct feed_plan {
     bool watchesStore = false; ///< This daemon is one of the watchers, which read updates from the store directly.
-    std::vector<std::string> sources; ///< Peer addresses of the other watchers, by ascending distance.
+    /// Peer addresses of the other watchers, by ascending distance, then of those that replace them if none answers.
+    std::vector<std::string> sources;
+    /// How long this daemon looks for a source before it asks the store itself, so that not all ask at once. Those that
+    /// replace the watchers ask first.
+    Core::duration storeFallbackDelay {};
 };
 
 /// Computes the watchers from this daemon's membership view. While views differ between daemons, the number of watchers
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -201,13 +201,14 @@
                                               Core::time_point now)
 {
     const std::uint64_t key = hashName("configuration watch");
-    std::vector<std::pair<std::uint64_t, Configuration::watch_candidate>> weighted;
+    using rank = std::pair<std::uint32_t, std::uint64_t>; // The capacity decides first.
+    std::vector<std::pair<rank, Configuration::watch_candidate>> weighted;
     std::map<std::string, const member_record *> byName;
     for (const member_record *member : liveMembers(table, settings, now)) {
         if (!member->leaving) {
             byName[member->name] = member;
             weighted.emplace_back(
-                rendezvousWeight(key, hashName(member->name)),
+                rank(member->capacity, rendezvousWeight(key, hashName(member->name))),
                 Configuration::watch_candidate {member->name, regionOf(document, member->dataCentre)});
         }
     }
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -66,8 +66,8 @@
 [[nodiscard]] std::vector<const member_record *> liveMembers(const member_table &table,
                                                              const membership_settings &settings, Core::time_point now);
 
-/// Returns the live members that are not leaving, in the order in which they are selected as watchers of the store. One
-/// member of each region precedes all others.
+/// Returns the live members that are not leaving, in the order in which they are selected as watchers of the store:
+/// by descending capacity, but one member of each region precedes all others.
 [[nodiscard]] std::vector<const member_record *> watchOrder(const member_table &table,
                                                             const membership_settings &settings,
                                                             const Configuration::configuration_document &document,
--- a/Tests/LibExchange/TestDecideFeed.cpp
+++ b/Tests/LibExchange/TestDecideFeed.cpp
@@ -115,3 +115,23 @@
     EXPECT_TRUE(decideFeed(state, view, start + 1s).refresh);
     EXPECT_FALSE(decideFeed(state, view, start + 1100ms).refresh);
 }
+
+/// A slow source makes all of its followers lag. They must not turn to the store at the same moment.
+TEST(DecideFeed, LaggingFollowersAskTheStoreOneAfterTheOther)
+{
+    const auto asksStoreAfter = [](Core::duration storeFallbackDelay) {
+        feed_decision_state state;
+        feed_view view = followerView();
+        view.sourceSince = start - 10s;
+        view.announcedNumber = 12;
+        view.storeFallbackDelay = storeFallbackDelay;
+        Core::time_point now = start;
+        while (!decideFeed(state, view, now).watchStore) {
+            now += 50ms;
+        }
+        return now - start;
+    };
+    EXPECT_LT(asksStoreAfter(0ms), 1200ms);
+    EXPECT_GT(asksStoreAfter(500ms), asksStoreAfter(0ms) + 400ms);
+    EXPECT_LT(asksStoreAfter(10s), 3s) << "a daemon that lags may miss a configuration";
+}
