LibForward: Ask replicas again that have refused, and prefer those that accept

Ruled out: refusing queries beyond the budget of their shards, which answered no more of them (docs/decisions/0078). Change: refusals don't count as attempts; once all replicas have refused they are asked again after a growing random delay, eight times at most. A smoothed rate of refusals is part of the expected latency. Hedges leave a fifth of the retry budget. A request that ends at its deadline with refusals alone is reported as not run.

--- a/Libraries/LibForward/ExpectedLatency.cpp
+++ b/Libraries/LibForward/ExpectedLatency.cpp
@@ -16,6 +16,8 @@
 static constexpr double stallFactor = 2.5; ///< Multiple of the expected latency.
 static constexpr Core::real_seconds stallPenalty = 120ms; ///< Mean remainder of a pause and its backlog.
 static constexpr Core::real_seconds errorPenalty = 400ms; ///< At an error rate of 1: cost of a failure and a retry.
+/// At a refusal rate of 1. More than the way to another region and back: a replica there that accepts is preferred.
+static constexpr Core::real_seconds refusalPenalty = 80ms;
 static constexpr Core::real_seconds avoidPenalty = 2s; ///< Ranks avoided replicas behind all others.
 /// Several service times: registered replicas of the service are preferred unless their queues are long.
 static constexpr Core::real_seconds missingPenalty = 50ms;
@@ -86,6 +88,7 @@
         expected += stallPenalty;
     }
     expected += errorPenalty * decayedErrorRate(replica, now);
+    expected += refusalPenalty * decayedRefusalRate(replica, now);
     if (replica.missing) {
         expected += missingPenalty;
     }
--- a/Libraries/LibForward/ReplicaEvents.cpp
+++ b/Libraries/LibForward/ReplicaEvents.cpp
@@ -13,6 +13,8 @@
 static constexpr double latencyWeight = 0.2; ///< Of a new sample; the mean adapts within a few responses.
 static constexpr double errorWeight = 0.1; ///< Of a new sample; one failure in ten responses has an effect.
 static constexpr Core::duration errorHalfLife = std::chrono::seconds(3); ///< Replica faults last a few seconds.
+static constexpr double refusalWeight = 0.2; ///< Of a new sample; a few refusals have an effect.
+static constexpr Core::duration refusalHalfLife = std::chrono::seconds(2);
 static constexpr Core::duration initialAvoidance = std::chrono::milliseconds(200);
 /// Bounds the delay until a recovered replica is used.
 static constexpr Core::duration maximumAvoidance = std::chrono::seconds(2);
@@ -39,6 +41,18 @@
     replica.errorRateAt = now;
 }
 
+static void recordRefusal(replica_state &replica, double refused, Core::time_point now)
+{
+    replica.refusalRate = decayedRefusalRate(replica, now) * (1.0 - refusalWeight) + refused * refusalWeight;
+    replica.refusalRateAt = now;
+}
+
+double decayedRefusalRate(const replica_state &replica, Core::time_point now)
+{
+    return replica.refusalRate
+        * std::exp2(-Core::toSeconds(now - replica.refusalRateAt) / Core::toSeconds(refusalHalfLife));
+}
+
 double decayedErrorRate(const replica_state &replica, Core::time_point now)
 {
     return replica.errorRate * std::exp2(-Core::toSeconds(now - replica.errorRateAt) / Core::toSeconds(errorHalfLife));
@@ -58,6 +72,7 @@
     updateMean(replica.smoothedLatency, now - sentAt, latencyWeight);
     replica.answeredAt = now;
     recordOutcome(replica, 0.0, now);
+    recordRefusal(replica, 0.0, now);
     const Core::real_seconds measuredServiceTime =
         std::max<Core::real_seconds>(now - sentAt - networkRoundTrip(replica.distance), {});
     // The service's mean is the fallback for the means of its replicas, so it adapts more slowly.
@@ -74,6 +89,7 @@
     }
     if (failure == attempt_failure::NotExecuted) {
         replica.avoidUntil = std::max(replica.avoidUntil, now + overloadAvoidance);
+        recordRefusal(replica, 1.0, now);
         return;
     }
     recordOutcome(replica, 1.0, now);
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -9,15 +9,24 @@
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestState.h"
 #include "LibForward/RetryEvents.h"
+#include "LibForward/RetryPurpose.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/TrafficConfiguration.h"
 
 #include <algorithm>
+#include <cmath>
+#include <random>
 
 namespace Forward
 {
 /// Unreachable replicas do not count as attempts, so their number is limited separately.
 static constexpr unsigned maximumUnsentAttempts = 3;
+/// A replica that has refused this often has no capacity in the time that callers wait.
+static constexpr unsigned maximumRefusals = 8;
+/// Delay until replicas that have all refused are asked again; grows with each further refusal.
+static constexpr Core::duration initialRefusalDelay = std::chrono::milliseconds(12);
+static constexpr Core::duration maximumRefusalDelay = std::chrono::milliseconds(80);
+static constexpr double refusalDelayGrowth = 1.5;
 /// A response sent later than this after its deadline is unlikely to reach the caller within the target latency.
 static constexpr Core::duration lateTolerance = std::chrono::milliseconds(5);
 
@@ -114,13 +123,21 @@
         wake = std::min(wake, request.plan.partialResponseDeadline);
     }
     for (const subrequest_state &subrequest : request.subrequests) {
-        if (subrequest.open && subrequest.hedgeAt) {
-            wake = std::min(wake, *subrequest.hedgeAt);
+        for (const std::optional<Core::time_point> &due : {subrequest.hedgeAt, subrequest.retryAt}) {
+            if (subrequest.open && due) {
+                wake = std::min(wake, *due);
+            }
         }
     }
     effects.wakeAt = wake;
 }
 
+static bool isRunning(const request_state &request)
+{
+    return std::any_of(request.subrequests.begin(), request.subrequests.end(),
+                       [](const subrequest_state &subrequest) { return !subrequest.running.empty(); });
+}
+
 /// Ends the request if its outcome is decided or a deadline has passed; otherwise schedules the next timer.
 static void finishOrScheduleWake(request_state &request, forward_context &context, request_effects &effects,
                                  Core::time_point now)
@@ -134,15 +151,13 @@
         return;
     }
     if (request.answeredSubrequests + request.openSubrequests < request.plan.requiredSubrequests) {
-        const bool running =
-            std::any_of(request.subrequests.begin(), request.subrequests.end(),
-                        [](const subrequest_state &subrequest) { return !subrequest.running.empty(); });
-        const bool ran = request.mayHaveRun || running || request.answeredSubrequests > 0;
+        const bool ran = request.mayHaveRun || isRunning(request) || request.answeredSubrequests > 0;
         finish(request, ran ? request_outcome::Failed : request_outcome::NotRun, context, effects, now);
         return;
     }
     if (now >= request.plan.callerDeadline) {
-        finish(request, request_outcome::TimedOut, context, effects, now);
+        const bool ran = request.mayHaveRun || isRunning(request) || request.answeredSubrequests > 0;
+        finish(request, ran ? request_outcome::TimedOut : request_outcome::NotRun, context, effects, now);
         return;
     }
     scheduleWake(request, effects, now);
@@ -153,7 +168,7 @@
 {
     subrequest.hedgeAt.reset();
     const route &matched = *request.plan.matched;
-    if (matched.retryPolicy != retry_policy::Idempotent || subrequest.sends >= matched.attempts) {
+    if (matched.retryPolicy != retry_policy::Idempotent || subrequest.sends - subrequest.refusals >= matched.attempts) {
         return;
     }
     subrequest.hedgeAt = now + hedgeDelay(matched, context);
@@ -240,7 +255,39 @@
 {
     const route &matched = *request.plan.matched;
     const bool safe = matched.retryPolicy == retry_policy::Idempotent || guaranteesNotExecuted(failure);
-    return safe && subrequest.sends < matched.attempts && subrequest.unsentAttempts < maximumUnsentAttempts;
+    // A replica that refused did not execute the request, so that it does not count as one of the route's attempts.
+    return safe && subrequest.sends - subrequest.refusals < matched.attempts && subrequest.refusals < maximumRefusals
+        && subrequest.unsentAttempts < maximumUnsentAttempts;
+}
+
+/// Returns a random delay, so that requests that were refused together do not return together.
+static Core::duration refusalDelay(unsigned refusals, Core::random_engine &random)
+{
+    const Core::duration grown = std::chrono::duration_cast<Core::duration>(
+        initialRefusalDelay * std::pow(refusalDelayGrowth, static_cast<double>(refusals)));
+    std::uniform_real_distribution<double> factor(0.5, 1.0);
+    return std::chrono::duration_cast<Core::duration>(std::min(grown, maximumRefusalDelay) * factor(random));
+}
+
+/// Sends another attempt of the subrequest if a replica and the retry budget allow it. Returns whether a replica was
+/// available.
+static bool retry(request_state &request, std::size_t index, forward_context &context, request_effects &effects,
+                  Core::time_point now)
+{
+    subrequest_state &subrequest = request.subrequests[index];
+    const std::size_t service = request.plan.services[index];
+    const std::optional<std::size_t> replica = chooseReplicaFor(request, subrequest, context, service, now);
+    // If no attempt has reached the service so far, this one counts as the first and needs no retry budget.
+    const bool isFirst = subrequest.sends == 0;
+    if (replica
+        && (isFirst
+            || tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
+                            retry_purpose::Required, now))) {
+        ++request.retries;
+        send(request, index, *replica, isFirst ? attempt_kind::First : attempt_kind::Retry, context, effects, now);
+        scheduleHedge(request, subrequest, context, now);
+    }
+    return replica.has_value();
 }
 
 request_effects onFailure(request_state &request, forward_context &context, std::uint32_t attempt,
@@ -252,27 +299,20 @@
         return effects;
     }
     const attempt_state ended = endAttempt(*subrequest, attempt);
-    const std::size_t service = request.plan.services[index];
     if (isUnsent(failure)) {
         --subrequest->sends;
         ++subrequest->unsentAttempts;
         recordUnsentAttempt(context, ended.replica, ended.kind, ended.sentAt, now);
     }
     request.mayHaveRun = request.mayHaveRun || !guaranteesNotExecuted(failure);
+    subrequest->refusals += failure == attempt_failure::NotExecuted ? 1 : 0;
     if (now < request.plan.callerDeadline && mayRetry(request, *subrequest, failure)) {
-        const std::optional<std::size_t> replica = chooseReplicaFor(request, *subrequest, context, service, now);
-        // If no attempt has reached the service so far, this one counts as the first and needs no retry budget.
-        const bool isFirst = subrequest->sends == 0;
-        if (replica
-            && (isFirst
-                || tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
-                                now))) {
-            ++request.retries;
-            send(request, index, *replica, isFirst ? attempt_kind::First : attempt_kind::Retry, context, effects, now);
-            scheduleHedge(request, *subrequest, context, now);
+        const bool hasReplica = retry(request, index, context, effects, now);
+        if (!hasReplica && subrequest->refusals > 0 && subrequest->running.empty()) {
+            subrequest->retryAt = now + refusalDelay(subrequest->refusals, context.random);
         }
     }
-    if (subrequest->running.empty()) {
+    if (subrequest->running.empty() && !subrequest->retryAt) {
         const bool isSingleService = !request.plan.matched->isScatterGather();
         closeSubrequest(request, *subrequest, effects);
         if (isSingleService && failure == attempt_failure::Error) {
@@ -283,6 +323,19 @@
     return effects;
 }
 
+/// Asks the replicas of a subrequest again that have all refused.
+static void askAgain(request_state &request, std::size_t index, forward_context &context, request_effects &effects,
+                     Core::time_point now)
+{
+    subrequest_state &subrequest = request.subrequests[index];
+    subrequest.retryAt.reset();
+    subrequest.tried.clear();
+    static_cast<void>(retry(request, index, context, effects, now));
+    if (subrequest.running.empty()) {
+        closeSubrequest(request, subrequest, effects);
+    }
+}
+
 request_effects onTimer(request_state &request, forward_context &context, Core::time_point now)
 {
     request_effects effects;
@@ -291,6 +344,9 @@
     }
     for (std::size_t index = 0; now < request.plan.callerDeadline && index < request.subrequests.size(); ++index) {
         subrequest_state &subrequest = request.subrequests[index];
+        if (subrequest.open && subrequest.retryAt && *subrequest.retryAt <= now) {
+            askAgain(request, index, context, effects, now);
+        }
         if (!subrequest.open || !subrequest.hedgeAt || *subrequest.hedgeAt > now) {
             continue;
         }
@@ -302,7 +358,7 @@
             hasHedgeCapacity && replica && !isAvoided(context.replicaTable.services[service]->replicas[*replica], now);
         if (shouldHedge
             && tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
-                            now)) {
+                            retry_purpose::Hedge, now)) {
             ++request.hedges;
             send(request, index, *replica, attempt_kind::Retry, context, effects, now);
         }
--- a/Libraries/LibForward/RetryEvents.cpp
+++ b/Libraries/LibForward/RetryEvents.cpp
@@ -2,6 +2,7 @@
 
 #include "LibForward/RetryBudget.h"
 #include "LibForward/RetryLimits.h"
+#include "LibForward/RetryPurpose.h"
 
 #include <algorithm>
 #include <numeric>
@@ -11,6 +12,8 @@
 /// Fraction of the ratio that is used: requests near the edge of a window may be counted in the next one.
 static constexpr double usedFraction = 0.9;
 
+/// Fraction of the budget beyond which no hedges are sent.
+static constexpr double hedgeFraction = 0.8;
 /// Fraction of the slack that daemons hold.
 static constexpr double distributedFraction = 0.86;
 /// Fraction of a daemon's part that it earns within the first window; the total reaches the whole slack.
@@ -60,13 +63,22 @@
     return age >= 1.0 ? limits.slack : limits.slack * initialFraction * std::max(age, 0.0);
 }
 
-bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, Core::time_point now)
+static std::uint32_t totalOf(const std::array<std::uint32_t, retry_budget::bucketCount> &buckets)
+{
+    return std::accumulate(buckets.begin(), buckets.end(), std::uint32_t {0});
+}
+
+static double allowedRetries(const retry_budget &budget, const retry_limits &limits, Core::time_point now)
+{
+    return limits.ratio * usedFraction * totalOf(budget.firstAttempts) + earnedSlack(limits, now);
+}
+
+bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, retry_purpose purpose, Core::time_point now)
 {
     advance(budget, limits, now);
-    const auto firstAttempts =
-        std::accumulate(budget.firstAttempts.begin(), budget.firstAttempts.end(), std::uint32_t {0});
-    const auto retries = std::accumulate(budget.retries.begin(), budget.retries.end(), std::uint32_t {0});
-    if (retries + 1.0 > limits.ratio * usedFraction * firstAttempts + earnedSlack(limits, now)) {
+    const double allowed =
+        allowedRetries(budget, limits, now) * (purpose == retry_purpose::Hedge ? hedgeFraction : 1.0);
+    if (totalOf(budget.retries) + 1.0 > allowed) {
         return false;
     }
     ++budget.retries[newestIndex(budget)];
--- a/Libraries/LibForward/SubrequestState.h
+++ b/Libraries/LibForward/SubrequestState.h
@@ -15,9 +15,11 @@
     bool open = true;
     std::optional<partial_result> answer;
     unsigned sends = 0; ///< Attempts that may have reached a replica.
+    unsigned refusals = 0; ///< Of these, attempts that the replica did not execute.
     unsigned unsentAttempts = 0; ///< Attempts that found no connection.
     boost::container::small_vector<std::size_t, 2> tried;
     boost::container::small_vector<attempt_state, 2> running;
     std::optional<Core::time_point> hedgeAt;
+    std::optional<Core::time_point> retryAt; ///< All replicas have refused; they are asked again then.
 };
 } // namespace Forward
--- a/Tests/LibForward/SimulatedReplica.h
+++ b/Tests/LibForward/SimulatedReplica.h
@@ -21,6 +21,9 @@
     Core::duration pauseDuration {};
     Core::duration pausePhase {};
     double serviceTimeFactor = 1.0;
+    double refusedFraction = 0.0; ///< Fraction of requests that it refuses whatever its load is.
+    Core::time_point refusesFrom {};
+    Core::time_point refusesUntil = Core::time_point::max();
     Core::time_point unresponsiveFrom = Core::time_point::max(); ///< From then on it does not respond.
     Core::time_point unresponsiveUntil = Core::time_point::max();
 };
--- a/Tests/LibForward/Simulation.cpp
+++ b/Tests/LibForward/Simulation.cpp
@@ -82,6 +82,11 @@
     m_retryRefusedRequests = true;
 }
 
+void simulation::setRetrySlack(double slack)
+{
+    m_context.replicaTable.retryLimits.slack = slack;
+}
+
 void simulation::startRequest(std::size_t index, Core::duration waited)
 {
     m_requests[index] = std::make_unique<Forward::request_state>();
@@ -119,7 +124,10 @@
         });
         return;
     }
-    if (replica.running < replica.slots) {
+    const bool isRefusing = m_now >= replica.refusesFrom && m_now < replica.refusesUntil;
+    if (isRefusing && std::bernoulli_distribution(replica.refusedFraction)(m_random)) {
+        at(m_now + replica.oneWayLatency, [this, key, arrived]() { reply(key, arrived, false); });
+    } else if (replica.running < replica.slots) {
         ++replica.running;
         work(key, arrived);
     } else if (replica.queue.size() < replica.maximumQueueLength) {
--- a/Tests/LibForward/Simulation.h
+++ b/Tests/LibForward/Simulation.h
@@ -28,6 +28,8 @@
     [[nodiscard]] simulated_replica &replica(std::size_t shard, std::size_t dataCentre);
     /// Makes refused callers retry once, after the daemon's Retry-After.
     void enableCallerRetries();
+    /// Sets this daemon's part of the retry slack.
+    void setRetrySlack(double slack);
     /// Generates requests as a Poisson process with the given mean rate, and runs until all of them have ended.
     [[nodiscard]] totals run(double requestsPerSecond, Core::duration length);
 
--- a/Tests/LibForward/TestHeavyLoad.cpp
+++ b/Tests/LibForward/TestHeavyLoad.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 using namespace std::chrono_literals;
 using Simulation::simulation;
 
@@ -23,6 +25,27 @@
     return {Fixtures::scatterGatherConfiguration(shards, minimumCoverage), shards, meanServiceTime, 17};
 }
 
+constexpr std::size_t manyShards = 90;
+constexpr double manyShardsSlack = 30.0;
+constexpr double ratePerActiveDaemon = 6.0; ///< Queries per second, in a large fleet.
+constexpr Core::time_point start {1000s};
+constexpr Core::time_point refusalsFrom {1015s};
+constexpr Core::time_point refusalsUntil {1024s};
+
+simulation makeManyShards()
+{
+    simulation simulated {Fixtures::scatterGatherConfiguration(manyShards, 0.95), manyShards, meanServiceTime, 23};
+    simulated.setRetrySlack(manyShardsSlack);
+    return simulated;
+}
+
+void refuseForAWhile(Simulation::simulated_replica &replica)
+{
+    replica.refusedFraction = 0.6;
+    replica.refusesFrom = refusalsFrom;
+    replica.refusesUntil = refusalsUntil;
+}
+
 void injectPauses(simulation &simulated)
 {
     for (std::size_t shard = 0; shard < shards; ++shard) {
@@ -116,3 +139,52 @@
     const Simulation::totals after = simulated.run(normalRate, 10s);
     EXPECT_GE(onTimeFraction(after), minimumOnTimeFraction);
 }
+
+/// All replicas of one shard refuse some requests while they execute the others normally.
+TEST(HeavyLoad, AsksAgainWhenAllReplicasOfAShardRefuse)
+{
+    simulation simulated = makeSimulation(1.0);
+    for (std::size_t dataCentre = 0; dataCentre < simulation::dataCentres; ++dataCentre) {
+        simulated.replica(3, dataCentre).refusedFraction = 0.3; // The retry budget covers this many.
+    }
+    const Simulation::totals result = simulated.run(5.0, length);
+    EXPECT_GE(onTimeFraction(result), minimumOnTimeFraction);
+}
+
+/// Half of all replicas refuse most requests, at most two of each shard. Those that accept are found within a few
+/// responses, so that queries over many shards are answered.
+TEST(HeavyLoad, PrefersReplicasThatAcceptWhenOthersRefuse)
+{
+    simulation simulated = makeManyShards();
+    for (std::size_t shard = 0; shard < manyShards; ++shard) {
+        refuseForAWhile(simulated.replica(shard, shard % simulation::dataCentres));
+        refuseForAWhile(simulated.replica(shard, 0));
+    }
+    const Simulation::totals result = simulated.run(ratePerActiveDaemon, length);
+    EXPECT_LE(static_cast<double>(result.failed + result.refused), 0.02 * static_cast<double>(result.requests));
+    EXPECT_GE(onTimeFraction(result), minimumOnTimeFraction);
+}
+
+/// Eight of ten replicas refuse most requests for nine seconds. In half of the shards that is every replica, and each
+/// of these needs 1.5 retries a query on average, which the budget covers for half of the queries. At least half of
+/// those are answered.
+TEST(HeavyLoad, AnswersQueriesWithinTheBudgetWhenMostReplicasRefuse)
+{
+    simulation simulated = makeManyShards();
+    std::mt19937_64 random(5);
+    for (std::size_t shard = 0; shard < manyShards; ++shard) {
+        for (std::size_t dataCentre = 0; dataCentre < simulation::dataCentres; ++dataCentre) {
+            if (std::bernoulli_distribution(0.8)(random)) {
+                refuseForAWhile(simulated.replica(shard, dataCentre));
+            }
+        }
+    }
+    const Simulation::totals before = simulated.run(ratePerActiveDaemon, refusalsFrom - start);
+    EXPECT_GE(onTimeFraction(before), minimumOnTimeFraction);
+    const Simulation::totals during = simulated.run(ratePerActiveDaemon, refusalsUntil - refusalsFrom);
+    const double answered = static_cast<double>(during.onTime + during.late) / static_cast<double>(during.requests);
+    constexpr double retriesForEachQuery = 0.6 / 0.4;
+    const double queries = ratePerActiveDaemon * Core::toSeconds(refusalsUntil - refusalsFrom);
+    const double coveredFraction = (retryRatio * queries + manyShardsSlack) / (retriesForEachQuery * queries);
+    EXPECT_GE(answered, 0.5 * coveredFraction);
+}
--- a/Tests/LibForward/TestSharedLimits.cpp
+++ b/Tests/LibForward/TestSharedLimits.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/ReplicaTable.h"
 #include "LibForward/RetryBudget.h"
 #include "LibForward/RetryEvents.h"
+#include "LibForward/RetryPurpose.h"
 #include "LibForward/SharedLimits.h"
 #include "LibForward/SharingState.h"
 
@@ -176,7 +177,9 @@
         }
         std::size_t retries = 0;
         for (fleet_daemon &daemon : m_daemons) {
-            while (daemon.running && Forward::tryTakeRetry(daemon.budget, daemon.replicaTable.retryLimits, m_now)) {
+            while (daemon.running
+                   && Forward::tryTakeRetry(daemon.budget, daemon.replicaTable.retryLimits,
+                                            Forward::retry_purpose::Required, m_now)) {
                 ++retries;
             }
         }
