LibFront: Bound what a replica may send, and require the id on reused connections

A late second copy of an answer without a Request-Id was taken for the next request's answer on a connection in use again; a body, interim responses or foreign responses without end were read until the deadline, a body into memory. Ruled out: skipping an answer without an id as those with a foreign one, since a refusal without an id would be waited for. Change: on a connection that has carried a response, one without an id fails the attempt (it may have run) and closes the connection. Bodies end at 16 MiB, and at most 16 responses are skipped before the expected one. Tests: five of replica_connection_test; all but the header's end failed before.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -28,6 +28,10 @@
 /// A replica is unlikely to close a connection this soon after its last use.
 static constexpr Core::duration maximumFreshIdleTime = 400ms;
 static constexpr std::uint32_t maximumHeaderBytes = 64 * 1024; ///< A response with a larger header is malformed.
+/// Larger than any page of the store and any full copy of the change feed.
+static constexpr std::uint64_t maximumBodyBytes = 16 * 1024 * 1024;
+/// Interim responses and late responses to earlier requests before the expected one.
+static constexpr unsigned maximumSkippedResponses = 16;
 
 replica_connection::replica_connection(boost::asio::io_context &loop, timer_queue &timers, std::string requestIdField,
                                        state_change_callback onStateChange)
@@ -88,6 +92,7 @@
     m_exchange = std::move(exchange);
     m_lastUsed = now;
     m_requestSent = false;
+    m_skippedResponses = 0;
     startParser();
     if (m_connected) {
         write();
@@ -98,7 +103,7 @@
 {
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(maximumBodyBytes);
     m_parser->header_limit(maximumHeaderBytes);
     m_parser->skip(m_exchange->isHead);
 }
@@ -182,18 +187,27 @@
 
 void replica_connection::onResponseComplete()
 {
-    if (m_parser->get().result_int() / 100 == 1) {
+    const bool isInterim = m_parser->get().result_int() / 100 == 1;
+    const auto responseId = m_requestIdField.empty() ? m_parser->get().end() : m_parser->get().find(m_requestIdField);
+    const bool hasId = responseId != m_parser->get().end();
+    const bool isForeign = !isInterim && hasId && responseId->value() != m_exchange->requestId;
+    if (isInterim || isForeign) {
+        // A foreign response belongs to an earlier request. The expected one may follow, but requests and responses on
+        // this connection are no longer in step, so it is not reused.
+        m_reusable = m_reusable && !isForeign;
+        if (++m_skippedResponses > maximumSkippedResponses) {
+            fail(Forward::attempt_failure::ConnectionLost);
+            return;
+        }
         startParser();
         return;
     }
-    const auto responseId = m_requestIdField.empty() ? m_parser->get().end() : m_parser->get().find(m_requestIdField);
-    if (responseId != m_parser->get().end() && responseId->value() != m_exchange->requestId) {
-        // The response belongs to an earlier request. The expected one may follow, but requests and responses on this
-        // connection are no longer in step, so it is not reused.
-        m_reusable = false;
-        startParser();
+    if (!hasId && !m_requestIdField.empty() && m_completedExchanges > 0) {
+        // Nothing shows that the response is not a late copy of an earlier one.
+        fail(Forward::attempt_failure::ConnectionLost);
         return;
     }
+    ++m_completedExchanges;
     reply_message reply = m_parser->release();
     m_reusable = m_reusable && m_requestSent && m_input.empty() && reply.keep_alive();
     updateIdleDeadline(reply);
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -68,6 +68,8 @@
     Core::time_point m_reusableUntil =
         Core::time_point::max(); ///< After this the replica may close an idle connection.
     Core::time_point m_lastUsed;
+    unsigned m_skippedResponses = 0; ///< Since the current request was sent.
+    std::size_t m_completedExchanges = 0;
     bool m_connected = false;
     bool m_closed = false;
     bool m_requestSent = false; ///< The complete request was passed to the operating system.
--- a/Tests/LibFront/TestReplicaConnection.cpp
+++ b/Tests/LibFront/TestReplicaConnection.cpp
@@ -3,7 +3,11 @@
 
 #include "LibFront/ReplicaConnection.h"
 
+#include <cerrno>
 #include <optional>
+#include <thread>
+
+#include <sys/socket.h>
 
 using namespace std::chrono_literals;
 
@@ -11,6 +15,22 @@
 {
 constexpr const char *completeResponse = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 4\r\n\r\nbody";
 
+void sendRepeatedly(raw_connection &peer, const std::string &bytes, int count)
+{
+    for (int index = 0; index < count && !peer.ended; ++index) {
+        peer.send(bytes);
+    }
+}
+
+/// Sends until the peer closes the connection.
+void sendWithoutEnd(int socket)
+{
+    const std::string bytes(64 * 1024, 'x');
+    while (::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0 || errno == EAGAIN) {
+        std::this_thread::yield();
+    }
+}
+
 class replica_connection_test : public loop_fixture
 {
 protected:
@@ -174,6 +194,59 @@
     EXPECT_EQ(result.reply->result_int(), 200U);
 }
 
+/// The replica sends a second copy of its first answer when the connection carries the next request. Without an id
+/// nothing tells the copy from the answer.
+TEST_F(replica_connection_test, FailsWhenReusedConnectionDeliversResponseWithoutId)
+{
+    raw_server server(m_loop,
+                      [](raw_connection &peer) { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"); });
+    EXPECT_TRUE(exchangeWith(server).reply) << "nothing else can be the first response of a connection";
+    send("two");
+    ASSERT_TRUE(runUntil([this]() { return m_result.has_value(); }));
+    EXPECT_FALSE(m_result->reply);
+    EXPECT_EQ(m_result->failure, Forward::attempt_failure::ConnectionLost);
+    EXPECT_FALSE(m_connection->isOpen());
+}
+
+TEST_F(replica_connection_test, FailsAndClosesOnHeaderWithoutEnd)
+{
+    raw_server server(m_loop, [](raw_connection &peer) {
+        peer.send("HTTP/1.1 200 OK\r\n");
+        sendRepeatedly(peer, "X-Field: " + std::string(1000, 'x') + "\r\n", 100);
+    });
+    EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost);
+    EXPECT_FALSE(m_connection->isOpen());
+}
+
+TEST_F(replica_connection_test, FailsAndClosesOnBodyWithoutEnd)
+{
+    std::thread sender;
+    raw_server server(m_loop, [&](raw_connection &peer) {
+        peer.send("HTTP/1.1 200 OK\r\n\r\n");
+        sender = std::thread([socket = peer.socket.native_handle()]() { sendWithoutEnd(socket); });
+    });
+    EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost);
+    EXPECT_FALSE(m_connection->isOpen());
+    sender.join();
+}
+
+TEST_F(replica_connection_test, FailsAndClosesOnInterimResponsesWithoutEnd)
+{
+    raw_server server(m_loop,
+                      [](raw_connection &peer) { sendRepeatedly(peer, "HTTP/1.1 103 Early Hints\r\n\r\n", 1000); });
+    EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost);
+    EXPECT_FALSE(m_connection->isOpen());
+}
+
+TEST_F(replica_connection_test, FailsAndClosesOnLateResponsesWithoutEnd)
+{
+    raw_server server(m_loop, [](raw_connection &peer) {
+        sendRepeatedly(peer, "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 0\r\n\r\n", 1000);
+    });
+    EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost);
+    EXPECT_FALSE(m_connection->isOpen());
+}
+
 TEST_F(replica_connection_test, CompletesResponseToHeadWithoutBody)
 {
     raw_server server(m_loop,
