--- a/Tests/platform/Soak/Fleet.cpp
+++ b/Tests/platform/Soak/Fleet.cpp
@@ -71,6 +71,8 @@
           {"control", at(port_use::Control)}}},
         {"port-range", {peers, peers}},
         {"seeds", seeds},
+        {"limits", {{"cpu-share", daemon % 3 == 0 ? 0.5 : 0.12}, {"cores", 1}}}, // VMs of unequal size.
+        {"fault-tolerance", {{"machines", 1}}},
         {"bounds",
          {{"grace-s", stopGrace.count()},
           {"ttl_max_s", 2},
