--- a/Libraries/LibForward/SharedLimits.cpp
+++ b/Libraries/LibForward/SharedLimits.cpp
@@ -15,6 +15,10 @@
 
 namespace Forward
 {
+/// Fraction of a replica's connections that the daemons share. The rest is a reserve while daemons join and leave, and
+/// for daemons that are not active.
+static constexpr double sharedConnectionFraction = 0.85;
+
 namespace
 {
 /// The active daemons in this daemon's view, by the hashes of their names.
@@ -51,6 +55,12 @@
     return hashes;
 }
 
+std::size_t connectionsPerReplica(const replica_table &replicaTable, double accepted)
+{
+    const auto daemons = static_cast<double>(std::max<std::size_t>(replicaTable.daemons, 1));
+    return static_cast<std::size_t>(std::max(accepted * sharedConnectionFraction / daemons, 1.0));
+}
+
 void updateSharedLimits(replica_table &replicaTable, sharing_state &state, const retry_limits &fleetLimits,
                         const Membership::member_table &members, const Membership::membership_settings &settings,
                         const Configuration::configuration_document &topology, Core::time_point now)
--- a/Libraries/LibForward/SharedLimits.h
+++ b/Libraries/LibForward/SharedLimits.h
@@ -2,6 +2,8 @@
 
 #include "LibCore/Time.h"
 
+#include <cstddef>
+
 namespace Configuration
 {
 struct configuration_document;
@@ -20,6 +22,9 @@
 struct retry_limits;
 struct sharing_state;
 
+/// Returns how many connections this daemon may open to a replica that accepts `accepted` of them; at least one.
+[[nodiscard]] std::size_t connectionsPerReplica(const replica_table &replicaTable, double accepted);
+
 /// Updates this daemon's part of the limits from its membership view. The active daemons share them. A daemon that is
 /// not active gets no retry slack, and otherwise the part that it would have if all daemons shared.
 /// `fleetLimits` hold for the entire fleet; `topology` names its data centres.
--- a/Libraries/LibFront/ReplicaConnections.cpp
+++ b/Libraries/LibFront/ReplicaConnections.cpp
@@ -127,6 +127,21 @@
     endpoint.hasAddress = false;
 }
 
+void replica_connections::closeIdleBeyond(std::size_t maximumConnections)
+{
+    for (auto &[key, endpoint] : m_endpoints) {
+        pruneClosed(endpoint);
+        std::size_t excess = endpoint.connections.size() - std::min(endpoint.connections.size(), maximumConnections);
+        for (const auto &connection : endpoint.connections) {
+            if (excess > 0 && connection->isIdle()) {
+                connection->close();
+                --excess;
+            }
+        }
+        pruneClosed(endpoint);
+    }
+}
+
 std::uint64_t replica_connections::openedCount() const
 {
     return m_openedCount;
--- a/Libraries/LibFront/ReplicaConnections.h
+++ b/Libraries/LibFront/ReplicaConnections.h
@@ -30,6 +30,9 @@
     /// Closes the connections to a removed replica: idle ones immediately, others after their current exchange.
     void closeConnections(const Forward::replica_key &key);
 
+    /// Closes idle connections to each replica beyond `maximumConnections`. Others may need their places.
+    void closeIdleBeyond(std::size_t maximumConnections);
+
     [[nodiscard]] std::uint64_t openedCount() const;
 
 private:
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -4,6 +4,7 @@
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RolloutEvents.h"
+#include "LibForward/SharedLimits.h"
 #include "LibForward/TopRecords.h"
 #include "LibForward/TrafficConfiguration.h"
 #include "LibFront/ExchangeResult.h"
@@ -23,9 +24,6 @@
 /// Time for an attempt to end by itself after the caller disconnects. Replicas stop within half a second of that.
 static constexpr Core::duration abandonedAttemptGracePeriod = 250ms;
 
-/// Fraction of a replica's connections that the daemons share. The rest is a reserve while daemons join and leave.
-static constexpr double sharedConnectionFraction = 0.85;
-
 request_task::request_task(front_environment &environment, Forward::request_plan plan, request_message &&request,
                            Core::duration callerTimeout, reply_function reply)
     : m_environment(environment)
@@ -65,8 +63,7 @@
 {
     const auto policy = trafficConfiguration.services.find(service);
     const double accepted = policy == trafficConfiguration.services.end() ? 1.0 : policy->second.maxConnections;
-    const auto daemons = static_cast<double>(std::max<std::size_t>(context.replicaTable.daemons, 1));
-    return static_cast<std::size_t>(std::max(accepted * sharedConnectionFraction / daemons, 1.0));
+    return Forward::connectionsPerReplica(context.replicaTable, accepted);
 }
 
 void request_task::sendAttempt(const Forward::send_attempt &send, Core::time_point now)
--- a/Tests/LibForward/TestSharedLimits.cpp
+++ b/Tests/LibForward/TestSharedLimits.cpp
@@ -119,6 +119,27 @@
         return m_daemons;
     }
 
+    /// The table of a daemon that knows the whole fleet.
+    Membership::member_table wholeTable(std::size_t index) const
+    {
+        Membership::member_table table = Membership::makeTable(recordOf(index), {}, m_now);
+        for (std::size_t other = 0; other < m_daemons.size(); ++other) {
+            Membership::mergeRecord(table, recordOf(other), m_settings, m_now);
+        }
+        return table;
+    }
+
+    Membership::active_sets activeMembers(const Membership::member_table &table) const
+    {
+        return Membership::activeMembers(table, m_settings, m_topology, m_now);
+    }
+
+    void updateLimits(Forward::replica_table &replicaTable, const Membership::member_table &table) const
+    {
+        Forward::sharing_state sharing;
+        Forward::updateSharedLimits(replicaTable, sharing, m_limits, table, m_settings, m_topology, m_now);
+    }
+
     double heardFraction = 0.7; ///< Probability that a daemon hears of another one in a round.
 
 private:
@@ -288,3 +309,22 @@
     m_fleet.runUntil(start + 40s);
     m_fleet.expectWithinBound(start);
 }
+
+/// A replica accepts 110 connections of all daemons together.
+TEST_P(shared_limits_test, ConnectionsOfActiveDaemonsStayWithinAReplicasLimit)
+{
+    constexpr double accepted = 110.0;
+    const Membership::member_table table = m_fleet.wholeTable(0);
+    std::size_t connections = 0;
+    for (const auto &[dataCentre, members] : m_fleet.activeMembers(table)) {
+        for (const Membership::member_record *member : members) {
+            Forward::replica_table replicaTable;
+            m_fleet.updateLimits(replicaTable, m_fleet.wholeTable(std::stoul(member->name.substr(3))));
+            const std::size_t own = Forward::connectionsPerReplica(replicaTable, accepted);
+            EXPECT_GE(own, 2U) << "one connection alone waits for each slow response";
+            connections += own;
+        }
+    }
+    EXPECT_GE(connections, 2 * 3 * GetParam().dataCentres);
+    EXPECT_LE(static_cast<double>(connections), accepted);
+}
