LibForward: State in Retry-After when the cause of a refusal is likely to have passed

Cause: every refusal named 30 to 150 ms. After a loss of all replicas of a shard, or at a daemon without a configuration, callers came back too early and were refused for good. Ruled out: one longer delay for all, since an overloaded replica has room again after a few service times. Change: the cause is taken from the request: overload, no replica that can be reached, or a daemon that is starting. Tests: request_events_test.RefusalStatesALongerDelayWhenNoReplicaIsAvailable.

--- a/Libraries/LibForward/RetryAfter.cpp
+++ b/Libraries/LibForward/RetryAfter.cpp
@@ -1,19 +1,50 @@
 #include "LibForward/RetryAfter.h"
 
+#include "LibForward/RefusalCause.h"
+#include "LibForward/RequestState.h"
+
+#include <algorithm>
 #include <random>
 
 namespace Forward
 {
 using namespace std::chrono_literals;
 
-/// An overloaded replica has processed some queued requests by then.
-static constexpr Core::duration minimumRetryAfter = 30ms;
-static constexpr Core::duration maximumRetryAfter = 150ms; ///< Leaves callers most of their timeout.
+namespace
+{
+struct delay_range {
+    Core::duration minimum;
+    Core::duration maximum;
+};
+} // namespace
+
+static delay_range delayRange(refusal_cause cause)
+{
+    switch (cause) {
+    case refusal_cause::Overload:
+        // An overloaded replica has processed some queued requests by then, and callers keep most of their time.
+        return {30ms, 150ms};
+    case refusal_cause::Unavailable:
+        return {300ms, 900ms}; // Replicas that crash are replaced after seconds.
+    case refusal_cause::Starting:
+        return {300ms, 900ms}; // A new daemon has its configuration within about a second.
+    }
+    return {30ms, 150ms};
+}
+
+refusal_cause refusalCauseOf(const request_state &request)
+{
+    // Without subrequests the concurrency limit refused the request.
+    const bool isRefusedByReplica =
+        std::any_of(request.subrequests.begin(), request.subrequests.end(),
+                    [](const subrequest_state &subrequest) { return subrequest.refusals > 0; });
+    return request.subrequests.empty() || isRefusedByReplica ? refusal_cause::Overload : refusal_cause::Unavailable;
+}
 
-Core::duration randomRetryAfter(Core::random_engine &random)
+Core::duration randomRetryAfter(refusal_cause cause, Core::random_engine &random)
 {
-    std::uniform_int_distribution<Core::duration::rep> distribution(minimumRetryAfter.count(),
-                                                                    maximumRetryAfter.count());
+    const delay_range range = delayRange(cause);
+    std::uniform_int_distribution<Core::duration::rep> distribution(range.minimum.count(), range.maximum.count());
     return Core::duration(distribution(random));
 }
 } // namespace Forward
--- a/Libraries/LibForward/RetryAfter.h
+++ b/Libraries/LibForward/RetryAfter.h
@@ -5,6 +5,13 @@
 
 namespace Forward
 {
-/// Returns a random delay after which a refused caller may retry, so that refused callers do not all return at once.
-[[nodiscard]] Core::duration randomRetryAfter(Core::random_engine &random);
+enum class refusal_cause;
+struct request_state;
+
+/// Returns why a request ended as not run.
+[[nodiscard]] refusal_cause refusalCauseOf(const request_state &request);
+
+/// Returns a random delay after which the cause of the refusal is likely to have passed. It is spread, so that refused
+/// callers do not all return at once.
+[[nodiscard]] Core::duration randomRetryAfter(refusal_cause cause, Core::random_engine &random);
 } // namespace Forward
--- a/Libraries/LibFront/FrontHandler.cpp
+++ b/Libraries/LibFront/FrontHandler.cpp
@@ -1,6 +1,7 @@
 #include "LibFront/FrontHandler.h"
 
 #include "LibForward/MakePlan.h"
+#include "LibForward/RefusalCause.h"
 #include "LibForward/RequestPlan.h"
 #include "LibForward/RouteTable.h"
 #include "LibForward/TrafficConfiguration.h"
@@ -33,7 +34,8 @@
     const Core::time_point now = std::chrono::steady_clock::now();
     if (!environment.configuration) {
         answer refusal = errorAnswer(503, "no configuration is known yet; the request has not run");
-        refusal.headers.emplace_back("Retry-After", retryAfterText(environment.forward.random));
+        refusal.headers.emplace_back("Retry-After",
+                                     retryAfterText(Forward::refusal_cause::Starting, environment.forward.random));
         reply(std::move(refusal));
         return {};
     }
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/AttemptFailure.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/RetryAfter.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/SharedLimits.h"
 #include "LibForward/TopRecords.h"
@@ -299,7 +300,8 @@
         return makeForwardedAnswer(std::move(*m_singleReply));
     case Forward::request_outcome::NotRun: {
         answer refusal = errorAnswer(503, "no replica can take the request now; it has not run");
-        refusal.headers.emplace_back("Retry-After", retryAfterText(m_environment.forward.random));
+        refusal.headers.emplace_back("Retry-After",
+                                     retryAfterText(Forward::refusalCauseOf(m_request), m_environment.forward.random));
         return refusal;
     }
     case Forward::request_outcome::Failed:
--- a/Libraries/LibFront/RetryAfter.cpp
+++ b/Libraries/LibFront/RetryAfter.cpp
@@ -6,10 +6,10 @@
 
 namespace Front
 {
-std::string retryAfterText(Core::random_engine &random)
+std::string retryAfterText(Forward::refusal_cause cause, Core::random_engine &random)
 {
     char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", Core::toSeconds(Forward::randomRetryAfter(random)));
+    std::snprintf(text, sizeof(text), "%.3f", Core::toSeconds(Forward::randomRetryAfter(cause, random)));
     return text;
 }
 } // namespace Front
--- a/Tests/LibForward/Simulation.cpp
+++ b/Tests/LibForward/Simulation.cpp
@@ -206,7 +206,7 @@
             ++m_totals.refused;
             return;
         }
-        const Core::duration wait = Forward::randomRetryAfter(m_context.random);
+        const Core::duration wait = Forward::randomRetryAfter(Forward::refusalCauseOf(request), m_context.random);
         at(m_now + wait, [this, index, wait]() { startRequest(index, wait); });
         return;
     }
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestEvents.h"
 #include "LibForward/RequestState.h"
+#include "LibForward/RetryAfter.h"
 #include "LibForward/RetryEvents.h"
 #include "LibForward/RetryPurpose.h"
 
@@ -199,6 +200,23 @@
     EXPECT_EQ(answer(effects.sends[0].attempt).finished, request_outcome::Answered);
 }
 
+/// Callers retry once or twice, so that they must not be told to return before the cause has passed.
+TEST_F(request_events_test, RefusalStatesALongerDelayWhenNoReplicaIsAvailable)
+{
+    const auto delayAfter = [this]() {
+        return Forward::randomRetryAfter(Forward::refusalCauseOf(m_request), m_context.random);
+    };
+    const auto configuration = Fixtures::singleServiceConfiguration(Forward::retry_policy::AtMostOnce);
+    EXPECT_EQ(start(configuration, 4000ms).finished, request_outcome::NotRun) << "there is no replica";
+    EXPECT_GE(delayAfter(), 300ms);
+    m_request = {};
+    addReplicas(1);
+    m_context.replicaTable.retryLimits.slack = 0.0;
+    const auto started = start(configuration, 4000ms);
+    EXPECT_EQ(fail(started.sends[0].attempt, attempt_failure::NotExecuted).finished, request_outcome::NotRun);
+    EXPECT_LE(delayAfter(), 150ms) << "a full replica has room again after a few service times";
+}
+
 /// Further attempts would take the budget from requests that can still be served.
 TEST_F(request_events_test, EndsAsNotRunWhenReplicasRefuseAndTheRetryBudgetIsUsed)
 {
