--- a/Libraries/LibForward/RetryAfter.cpp
+++ b/Libraries/LibForward/RetryAfter.cpp
@@ -25,9 +25,9 @@
         // An overloaded replica has processed some queued requests by then, and callers keep most of their time.
         return {30ms, 150ms};
     case refusal_cause::Unavailable:
-        return {300ms, 900ms}; // Replicas that crash are replaced after seconds.
     case refusal_cause::Starting:
-        return {300ms, 900ms}; // A new daemon has its configuration within about a second.
+        // A new daemon has its configuration within about a second; replicas that crash are back after a few.
+        return {300ms, 900ms};
     }
     return {30ms, 150ms};
 }
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -29,7 +29,7 @@
 static constexpr Core::duration maximumFreshIdleTime = 400ms;
 static constexpr std::uint32_t maximumHeaderBytes = 64 * 1024; ///< A response with a larger header is malformed.
 /// Larger than any page of the store and any full copy of the change feed.
-static constexpr std::uint64_t maximumBodyBytes = 16 * 1024 * 1024;
+static constexpr std::uint64_t maximumBodyBytes = 16'777'216;
 /// Interim responses and late responses to earlier requests before the expected one.
 static constexpr unsigned maximumSkippedResponses = 16;
 
--- a/Tests/LibForward/TestSharedLimits.cpp
+++ b/Tests/LibForward/TestSharedLimits.cpp
@@ -325,6 +325,6 @@
             connections += own;
         }
     }
-    EXPECT_GE(connections, 2 * 3 * GetParam().dataCentres);
+    EXPECT_GE(connections, 6 * GetParam().dataCentres);
     EXPECT_LE(static_cast<double>(connections), accepted);
 }
--- a/Tests/LibFront/TestReplicaConnection.cpp
+++ b/Tests/LibFront/TestReplicaConnection.cpp
@@ -25,7 +25,7 @@
 /// Sends until the peer closes the connection.
 void sendWithoutEnd(int socket)
 {
-    const std::string bytes(64 * 1024, 'x');
+    const std::string bytes(65536, 'x');
     while (::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0 || errno == EAGAIN) {
         std::this_thread::yield();
     }
