--- a/Libraries/LibForward/AttemptKind.h
+++ b/Libraries/LibForward/AttemptKind.h
@@ -2,9 +2,10 @@
 
 namespace Forward
 {
-/// How an attempt counts at its service.
+/// The reason for which an attempt is sent. All but the first attempt are counted by the service's retry budget.
 enum class attempt_kind {
-    First, ///< The service's first attempt for the request.
-    Retry, ///< A retry or hedge, counted by the service's retry budget.
+    First,
+    Retry, ///< The previous attempt failed; without another one the service's answer is lost.
+    Hedge, ///< The previous attempt is still running.
 };
 } // namespace Forward
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -9,7 +9,6 @@
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestState.h"
 #include "LibForward/RetryEvents.h"
-#include "LibForward/RetryPurpose.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/TrafficConfiguration.h"
 
@@ -282,7 +281,7 @@
     if (replica
         && (isFirst
             || tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
-                            retry_purpose::Required, now))) {
+                            attempt_kind::Retry, now))) {
         ++request.retries;
         send(request, index, *replica, isFirst ? attempt_kind::First : attempt_kind::Retry, context, effects, now);
         scheduleHedge(request, subrequest, context, now);
@@ -358,9 +357,9 @@
             hasHedgeCapacity && replica && !isAvoided(context.replicaTable.services[service]->replicas[*replica], now);
         if (shouldHedge
             && tryTakeRetry(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits,
-                            retry_purpose::Hedge, now)) {
+                            attempt_kind::Hedge, now)) {
             ++request.hedges;
-            send(request, index, *replica, attempt_kind::Retry, context, effects, now);
+            send(request, index, *replica, attempt_kind::Hedge, context, effects, now);
         }
     }
     finishOrScheduleWake(request, context, effects, now);
@@ -370,12 +369,26 @@
 void recordUnsentAttempt(forward_context &context, const replica_key &replica, attempt_kind kind,
                          Core::time_point sentAt, Core::time_point now)
 {
-    if (kind == attempt_kind::Retry) {
+    if (kind != attempt_kind::First) {
         returnRetry(context.replicaTable.services[replica.service]->retryBudget, context.replicaTable.retryLimits,
                     sentAt, now);
     }
 }
 
+std::optional<std::chrono::milliseconds> timeLeftForAttempt(const request_state &request,
+                                                            const replica_table &replicaTable, const replica_key &key,
+                                                            std::string_view replicaId, Core::time_point deadline,
+                                                            Core::time_point now)
+{
+    const replica_state &replica = replicaTable.services[key.service]->replicas[key.replica];
+    const bool isSameReplica = !replica.removed && replica.registration.id == replicaId;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    if (request.finished || !isSameReplica || left < std::chrono::milliseconds(1)) {
+        return std::nullopt;
+    }
+    return left;
+}
+
 void abandonRequest(request_state &request, forward_context &context)
 {
     request.finished = true;
--- a/Libraries/LibForward/RequestEvents.h
+++ b/Libraries/LibForward/RequestEvents.h
@@ -3,7 +3,10 @@
 #include "LibCore/Time.h"
 #include "LibForward/RequestEffects.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 /// State machine for the lifetime of one request. The event functions return the actions that the daemon has to take.
 namespace Forward
@@ -13,6 +16,7 @@
 struct forward_context;
 struct partial_result;
 struct replica_key;
+struct replica_table;
 struct request_state;
 
 /// Sends the first attempt to each shard or to the single service. The plan must be set.
@@ -29,6 +33,12 @@
 /// Sends hedges that are due, and ends the request when one of its deadlines has passed.
 [[nodiscard]] request_effects onTimer(request_state &request, forward_context &context, Core::time_point now);
 
+/// Returns the time that an attempt has left when a connection becomes available for it. Returns nothing if it must be
+/// withdrawn: the request has ended, the replica with `replicaId` is gone, or less than a millisecond is left.
+[[nodiscard]] std::optional<std::chrono::milliseconds>
+timeLeftForAttempt(const request_state &request, const replica_table &replicaTable, const replica_key &key,
+                   std::string_view replicaId, Core::time_point deadline, Core::time_point now);
+
 /// Returns what an attempt has taken from the retry budget although it reached no replica. `onFailure` does this for
 /// attempts of running requests; this is for those that outlive their request.
 void recordUnsentAttempt(forward_context &context, const replica_key &replica, attempt_kind kind,
--- a/Libraries/LibForward/RetryEvents.cpp
+++ b/Libraries/LibForward/RetryEvents.cpp
@@ -1,8 +1,8 @@
 #include "LibForward/RetryEvents.h"
 
+#include "LibForward/AttemptKind.h"
 #include "LibForward/RetryBudget.h"
 #include "LibForward/RetryLimits.h"
-#include "LibForward/RetryPurpose.h"
 
 #include <algorithm>
 #include <numeric>
@@ -73,11 +73,10 @@
     return limits.ratio * usedFraction * totalOf(budget.firstAttempts) + earnedSlack(limits, now);
 }
 
-bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, retry_purpose purpose, Core::time_point now)
+bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, attempt_kind kind, Core::time_point now)
 {
     advance(budget, limits, now);
-    const double allowed =
-        allowedRetries(budget, limits, now) * (purpose == retry_purpose::Hedge ? hedgeFraction : 1.0);
+    const double allowed = allowedRetries(budget, limits, now) * (kind == attempt_kind::Hedge ? hedgeFraction : 1.0);
     if (totalOf(budget.retries) + 1.0 > allowed) {
         return false;
     }
--- a/Libraries/LibForward/RetryEvents.h
+++ b/Libraries/LibForward/RetryEvents.h
@@ -8,7 +8,7 @@
 {
 struct retry_budget;
 struct retry_limits;
-enum class retry_purpose;
+enum class attempt_kind;
 
 /// One active daemon's part of the fleet's retry slack. Each data centre has a fixed part, so that data centres that
 /// cannot reach each other stay within the total; `holders` daemons share it.
@@ -19,7 +19,7 @@
 
 /// Counts a retry or hedge and returns true, or returns false if the budget of the current window is exhausted. Hedges
 /// leave a part of the budget to required retries.
-[[nodiscard]] bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, retry_purpose purpose,
+[[nodiscard]] bool tryTakeRetry(retry_budget &budget, const retry_limits &limits, attempt_kind kind,
                                 Core::time_point now);
 
 /// Returns a retry that was taken at `takenAt` and whose attempt reached no replica.
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -94,13 +94,10 @@
 std::optional<std::string> request_task::serializeAttemptAt(const Forward::replica_key &key,
                                                             const std::string &instance, Core::time_point now) const
 {
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_callerDeadline - now).count();
-    const Forward::replica_state &replica = Forward::replicaAt(m_environment.forward.replicaTable, key);
-    const bool isSameReplica = !replica.removed && replica.registration.id == instance;
-    if (remaining <= 0 || !isSameReplica || m_request.finished) {
-        return std::nullopt;
-    }
-    return serializeAttempt(m_forwardedRequest, m_environment.names, remaining, instance);
+    const auto left = Forward::timeLeftForAttempt(m_request, m_environment.forward.replicaTable, key, instance,
+                                                  m_callerDeadline, now);
+    return left ? std::optional(serializeAttempt(m_forwardedRequest, m_environment.names, left->count(), instance))
+                : std::nullopt;
 }
 
 void request_task::onComplete(std::uint32_t attempt, exchange_result exchangeResult)
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -50,7 +50,7 @@
     void recordWithdrawal(const open_attempt &open, Core::time_point now);
     void recordReportedLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now);
     void scheduleWakeup(Core::time_point when);
-    /// Returns the text of an attempt; nothing if it would reach the wrong replica, or nobody needs its response.
+    /// Returns the text of an attempt; nothing if it must be withdrawn.
     [[nodiscard]] std::optional<std::string>
     serializeAttemptAt(const Forward::replica_key &key, const std::string &instance, Core::time_point now) const;
     /// Cancels queued attempts immediately, and attempts that were sent if they have not ended after the delay.
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -1,6 +1,7 @@
 #include "Fixtures.h"
 
 #include "LibForward/AttemptFailure.h"
+#include "LibForward/AttemptKind.h"
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/MakePlan.h"
 #include "LibForward/PartialResult.h"
@@ -10,7 +11,6 @@
 #include "LibForward/RequestState.h"
 #include "LibForward/RetryAfter.h"
 #include "LibForward/RetryEvents.h"
-#include "LibForward/RetryPurpose.h"
 
 #include <gtest/gtest.h>
 
@@ -284,7 +284,30 @@
     EXPECT_TRUE(replica.outstanding.empty());
     EXPECT_FALSE(Forward::isAvoided(replica, m_now)) << "the replica had no part in it";
     EXPECT_TRUE(Forward::tryTakeRetry(m_context.replicaTable.services[0]->retryBudget,
-                                      m_context.replicaTable.retryLimits, Forward::retry_purpose::Required, m_now));
+                                      m_context.replicaTable.retryLimits, Forward::attempt_kind::Retry, m_now));
+}
+
+/// The connection opens late, or the process stood still meanwhile.
+TEST_F(request_events_test, AttemptIsSentOnlyWhileItsRequestReplicaAndDeadlineHold)
+{
+    addReplicas(1);
+    const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::Idempotent), 4000ms);
+    const Forward::replica_key replica = started.sends[0].replica;
+    const std::string id = Forward::replicaAt(m_context.replicaTable, replica).registration.id;
+    const Core::time_point deadline = m_now + 4s;
+    const auto timeLeftAt = [&](Core::time_point now, const std::string &replicaId) {
+        return Forward::timeLeftForAttempt(m_request, m_context.replicaTable, replica, replicaId, deadline, now);
+    };
+    EXPECT_EQ(timeLeftAt(m_now + 1s, id), 3000ms);
+    EXPECT_EQ(timeLeftAt(deadline - 1ms, id), 1ms);
+    EXPECT_EQ(timeLeftAt(deadline - 500us, id), std::nullopt) << "replicas are told whole milliseconds";
+    EXPECT_EQ(timeLeftAt(deadline + 1600ms, id), std::nullopt);
+    EXPECT_EQ(timeLeftAt(m_now + 1s, "another"), std::nullopt);
+    Forward::removeReplica(m_context.replicaTable, id);
+    EXPECT_EQ(timeLeftAt(m_now + 1s, id), std::nullopt);
+    Forward::replicaAt(m_context.replicaTable, replica).removed = false;
+    m_request.finished = true;
+    EXPECT_EQ(timeLeftAt(m_now + 1s, id), std::nullopt);
 }
 
 /// The replica is removed while the attempt waits for a connection.
--- a/Tests/LibForward/TestRetryBudget.cpp
+++ b/Tests/LibForward/TestRetryBudget.cpp
@@ -1,8 +1,8 @@
 #include "LibForward/ActiveHistory.h"
+#include "LibForward/AttemptKind.h"
 #include "LibForward/RetryBudget.h"
 #include "LibForward/RetryEvents.h"
 #include "LibForward/RetryLimits.h"
-#include "LibForward/RetryPurpose.h"
 
 #include <gtest/gtest.h>
 
@@ -27,7 +27,7 @@
         now += std::chrono::microseconds(std::uniform_int_distribution<>(1000, busy ? 20'000 : 400'000)(random));
         Forward::recordFirstAttempt(budget, limits, now);
         firstAttempts.push_back(now);
-        if (Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now)) {
+        if (Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now)) {
             retries.push_back(now);
         }
     }
@@ -59,12 +59,12 @@
     const Forward::retry_limits limits {.ratio = 0.2, .slack = 1.0, .window = 10s};
     Forward::retry_budget budget;
     const Core::time_point now {100s};
-    ASSERT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now));
-    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now + 1s));
+    ASSERT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now));
+    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now + 1s));
     Forward::returnRetry(budget, limits, now, now + 2s);
-    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now + 2s));
+    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now + 2s));
     Forward::returnRetry(budget, limits, now - 30s, now + 3s);
-    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now + 3s))
+    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now + 3s))
         << "that retry has left the window";
 }
 
@@ -73,8 +73,8 @@
     const Forward::retry_limits limits {.ratio = 0.2, .slack = 2.0, .window = 10s};
     Forward::retry_budget budget;
     const Core::time_point now {100s};
-    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now));
-    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now));
-    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now + 9s));
-    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::retry_purpose::Required, now + 12s));
+    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now));
+    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now));
+    EXPECT_FALSE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now + 9s));
+    EXPECT_TRUE(Forward::tryTakeRetry(budget, limits, Forward::attempt_kind::Retry, now + 12s));
 }
--- a/Tests/LibForward/TestSharedLimits.cpp
+++ b/Tests/LibForward/TestSharedLimits.cpp
@@ -1,7 +1,7 @@
+#include "LibForward/AttemptKind.h"
 #include "LibForward/ReplicaTable.h"
 #include "LibForward/RetryBudget.h"
 #include "LibForward/RetryEvents.h"
-#include "LibForward/RetryPurpose.h"
 #include "LibForward/SharedLimits.h"
 #include "LibForward/SharingState.h"
 
@@ -37,7 +37,7 @@
     Forward::retry_budget budget;
     bool running = true;
     bool active = false; ///< In its own view, as of its latest update.
-    int side = 0; ///< Daemons on different sides do not hear each other.
+    int side = 0; ///< Daemons on different sides do not receive each other's messages.
 };
 
 class sharing_fleet
@@ -163,7 +163,7 @@
             && std::find(own->second.begin(), own->second.end(), &daemon.table.self) != own->second.end();
     }
 
-    /// The daemon hears from each other one with some probability: messages are late, or lost.
+    /// Receives the heartbeat of each reachable daemon with probability `heardFraction`; the others are late or lost.
     void runRound(fleet_daemon &daemon)
     {
         std::bernoulli_distribution isHeard(heardFraction);
@@ -200,7 +200,7 @@
         for (fleet_daemon &daemon : m_daemons) {
             while (daemon.running
                    && Forward::tryTakeRetry(daemon.budget, daemon.replicaTable.retryLimits,
-                                            Forward::retry_purpose::Required, m_now)) {
+                                            Forward::attempt_kind::Retry, m_now)) {
                 ++retries;
             }
         }
@@ -269,6 +269,27 @@
     m_fleet.expectWithinBound(start);
 }
 
+/// Every daemon is restarted, twice within a window, while no daemon receives messages from more than half of the
+/// others.
+TEST_P(shared_limits_test, RetriesStayInBoundsDuringRollingRestartsOfASplitFleet)
+{
+    m_fleet.runUntil(start + 15s);
+    const std::size_t daemons = m_fleet.daemons().size();
+    for (std::size_t index = 0; index < daemons; ++index) {
+        m_fleet.daemons()[index].side = (index / GetParam().dataCentres) % 2 == 0 ? 0 : 1;
+    }
+    const std::size_t restartsPerStep = 2 * daemons / 90 + 1; // Two restarts of each daemon in nine seconds.
+    std::size_t restarts = 0;
+    m_fleet.runUntil(start + 24s, [&]() {
+        for (std::size_t count = 0; count < restartsPerStep && restarts < 2 * daemons; ++count) {
+            m_fleet.restart(restarts++ % daemons);
+        }
+    });
+    EXPECT_EQ(restarts, 2 * daemons);
+    m_fleet.runUntil(start + 50s);
+    m_fleet.expectWithinBound(start);
+}
+
 /// One active daemon after the other is lost for good; others take their places.
 TEST_P(shared_limits_test, RetriesStayInBoundsWhileTheActiveSetMoves)
 {
