Meta: Let a run wait for another one on the same machine

Ruled out: other ports, since the stand-in backend servers listen where the sample configuration says. Change: a lock file; the second run waits up to 120 s. Processes that outlive the script (--keep) don't hold the lock, and are still reported by the port. run.sh and sanitize.sh share the start of daemons.

--- a/Meta/commands/run.sh
+++ b/Meta/commands/run.sh
@@ -27,6 +27,13 @@
 store_port=20900
 caller_port=20100
 peer_port=20500
+# The ports are fixed, so that a run waits until another one on this machine has ended.
+longest_wait_seconds=120
+exec {run_lock}>"${TMPDIR:-/tmp}/ragwortcrank-run.lock"
+flock --wait "$longest_wait_seconds" "$run_lock" || {
+    echo "another run has not ended within $longest_wait_seconds s" >&2
+    exit 1
+}
 for port in "$store_port" "$caller_port"; do
     if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
         echo "port $port is in use; end what runs there first" >&2
@@ -40,20 +47,7 @@
 start_process "$logs/backend.log" Build/Tests/StandIns/standin_backend --config="$config"
 mapfile -t data_centres < <(jq -r '.data_centres | keys[]' "$config")
 wait_for_url "http://127.0.0.1:$store_port/counters" 10
-vms=$(for ((index = 0; index < daemons; index++)); do
-    jq -n --arg name "vm-$index" --arg caller "127.0.0.1:$((caller_port + index))" \
-        --arg peer "127.0.0.1:$((peer_port + index))" \
-        --arg data_centre "${data_centres[index % ${#data_centres[@]}]}" \
-        '{name: $name, caller_address: $caller, peer_address: $peer, data_centre: $data_centre, leaving: false}'
-done | jq --slurp --compact-output .)
-curl --silent --fail --output /dev/null --request PUT --header 'Content-Type: application/json' --data "$vms" \
-    "http://127.0.0.1:$store_port/objects/vms"
-for ((index = 0; index < daemons; index++)); do
-    start_process "$logs/vm-$index.log" Build/Services/ragwortcrankd/ragwortcrankd \
-        --vm_name="vm-$index" --data_centre="${data_centres[index % ${#data_centres[@]}]}" \
-        --caller_port=$((caller_port + index)) --peer_port=$((peer_port + index)) \
-        --store_url="http://127.0.0.1:$store_port"
-done
+start_daemons Build/Services/ragwortcrankd/ragwortcrankd
 for ((index = 0; index < daemons; index++)); do
     wait_for_url "http://127.0.0.1:$((caller_port + index))/healthz" 10
 done
--- a/Meta/commands/sanitize.sh
+++ b/Meta/commands/sanitize.sh
@@ -45,26 +45,13 @@
 
 # Serves 200 queries from three daemons: serve SAMPLE
 serve() {
-    local config=$1 daemons=3 index vms
+    local config=$1 daemons=3 index
     local -a data_centres
     start_process "$logs/store.log" "$build/Tests/StandIns/standin_store" --port="$store_port"
     start_process "$logs/backend.log" "$build/Tests/StandIns/standin_backend" --config="$config"
     mapfile -t data_centres < <(jq -r '.data_centres | keys[]' "$config")
     wait_for_url "http://127.0.0.1:$store_port/counters" 30
-    vms=$(for ((index = 0; index < daemons; index++)); do
-        jq -n --arg name "vm-$index" --arg caller "127.0.0.1:$((caller_port + index))" \
-            --arg peer "127.0.0.1:$((peer_port + index))" \
-            --arg data_centre "${data_centres[index % ${#data_centres[@]}]}" \
-            '{name: $name, caller_address: $caller, peer_address: $peer, data_centre: $data_centre, leaving: false}'
-    done | jq --slurp --compact-output .)
-    curl --silent --fail --output /dev/null --request PUT --header 'Content-Type: application/json' --data "$vms" \
-        "http://127.0.0.1:$store_port/objects/vms"
-    for ((index = 0; index < daemons; index++)); do
-        start_process "$logs/vm-$index.log" "$build/Services/ragwortcrankd/ragwortcrankd" \
-            --vm_name="vm-$index" --data_centre="${data_centres[index % ${#data_centres[@]}]}" \
-            --caller_port=$((caller_port + index)) --peer_port=$((peer_port + index)) \
-            --store_url="http://127.0.0.1:$store_port"
-    done
+    start_daemons "$build/Services/ragwortcrankd/ragwortcrankd"
     for ((index = 0; index < daemons; index++)); do
         wait_for_url "http://127.0.0.1:$((caller_port + index))/healthz" 30
     done
--- a/Meta/include/processes.sh
+++ b/Meta/include/processes.sh
@@ -6,10 +6,35 @@
 start_process() {
     local log=$1
     shift
-    "$@" >"$log" 2>&1 &
+    # A process that outlives the script must not hold the script's lock.
+    if [ -n "${run_lock:-}" ]; then
+        "$@" >"$log" 2>&1 {run_lock}>&- &
+    else
+        "$@" >"$log" 2>&1 &
+    fi
     started_processes+=("$!")
 }
 
+# Puts the list of VMs into the stand-in store and starts a daemon on each: start_daemons PROGRAM
+# Reads the variables daemons, data_centres, caller_port, peer_port, store_port and logs.
+start_daemons() {
+    local program=$1 index vms
+    vms=$(for ((index = 0; index < daemons; index++)); do
+        jq -n --arg name "vm-$index" --arg caller "127.0.0.1:$((caller_port + index))" \
+            --arg peer "127.0.0.1:$((peer_port + index))" \
+            --arg data_centre "${data_centres[index % ${#data_centres[@]}]}" \
+            '{name: $name, caller_address: $caller, peer_address: $peer, data_centre: $data_centre, leaving: false}'
+    done | jq --slurp --compact-output .)
+    curl --silent --fail --output /dev/null --request PUT --header 'Content-Type: application/json' --data "$vms" \
+        "http://127.0.0.1:$store_port/objects/vms"
+    for ((index = 0; index < daemons; index++)); do
+        start_process "$logs/vm-$index.log" "$program" \
+            --vm_name="vm-$index" --data_centre="${data_centres[index % ${#data_centres[@]}]}" \
+            --caller_port=$((caller_port + index)) --peer_port=$((peer_port + index)) \
+            --store_url="http://127.0.0.1:$store_port"
+    done
+}
+
 # Ends every started process by its id and waits for it. The second signal ends a daemon's drain.
 end_processes() {
     local id
