--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -254,7 +254,10 @@
     } else if (const auto further = Membership::onGossipReply(m_table, received->message, m_settings, now)) {
         sendTo(sender, datagram_kind::Round, *further);
     }
-    detectFleetChange(now);
+    // Heartbeats arrive far more often than members change; the next round shows their changes.
+    if (!received->message.isHeartbeat) {
+        detectFleetChange(now);
+    }
 }
 
 void peer_exchange::sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message)
--- a/Tests/LibFront/TestReplicaConnection.cpp
+++ b/Tests/LibFront/TestReplicaConnection.cpp
@@ -22,11 +22,18 @@
     }
 }
 
-/// Sends until the peer closes the connection.
+/// Sends until the peer closes the connection, but not so much that a reader without a limit exhausts the memory.
 void sendWithoutEnd(int socket)
 {
+    constexpr std::size_t maximumBytes = 64'000'000;
     const std::string bytes(65536, 'x');
-    while (::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0 || errno == EAGAIN) {
+    std::size_t sent = 0;
+    while (sent < maximumBytes) {
+        const ssize_t count = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count < 0 && errno != EAGAIN) {
+            return;
+        }
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
         std::this_thread::yield();
     }
 }
@@ -227,6 +234,8 @@
     });
     EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost);
     EXPECT_FALSE(m_connection->isOpen());
+    m_connection->close();
+    runFor(10ms); // The sender notices the close.
     sender.join();
 }
 
