LibFront, LibForward: Record and log the request limits that replicas state

Cause: nothing that a daemon logged or counted told the hypotheses of the incident apart: whether the limit is read, by which daemon, and what each daemon sends to the replica afterwards. Change: the header is decoded in the adapter and recorded for the replica; event replica_limit on each change, with the daemon's attempts and hedges since the first one; event replica_limit_unreadable; gauge limited_replicas. Routing does not use the limit yet. An answer without the header ends the limit, a refusal without it does not; an answer of another instance changes nothing.

--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -4,6 +4,7 @@
 #include "LibForward/LoadReport.h"
 #include "LibForward/Locality.h"
 #include "LibForward/ReplicaRegistration.h"
+#include "LibForward/RequestLimit.h"
 
 #include <boost/container/small_vector.hpp>
 
@@ -22,6 +23,7 @@
     Core::real_seconds smoothedLatency {}; ///< Exponentially weighted mean of latencies; 0: no response yet.
     Core::time_point answeredAt;
     std::optional<load_report> load;
+    std::optional<request_limit> requestLimit; ///< Set while the replica states one.
     unsigned consecutiveFailures = 0;
     double errorRate = 0.0; ///< Smoothed fraction of recent requests that failed; decays with time.
     Core::time_point errorRateAt;
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -64,7 +64,7 @@
 {
     subrequest_state &subrequest = request.subrequests[subrequestIndex];
     const replica_key key {request.plan.services[subrequestIndex], replica};
-    recordSent(context.replicaTable, key, now);
+    recordSent(context.replicaTable, key, kind, now);
     recordColdRequest(replicaAt(context.replicaTable, key), now);
     const std::uint32_t attempt = request.nextAttempt++;
     subrequest.tried.push_back(replica);
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -48,6 +48,17 @@
     }
 }
 
+static std::size_t countLimitedReplicas(const Forward::replica_table &replicaTable)
+{
+    std::size_t count = 0;
+    for (const auto &service : replicaTable.services) {
+        for (const Forward::replica_state &replica : service->replicas) {
+            count += !replica.removed && replica.requestLimit ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 std::string metricsText(const front_environment &environment)
 {
     const front_counters &counters = environment.counters;
@@ -71,6 +82,8 @@
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
     addGauge(text, "daemons", "Live daemons that share limits, this one included.",
              static_cast<double>(environment.forward.replicaTable.daemons));
+    addGauge(text, "limited_replicas", "Replicas that state a limit on their request rate.",
+             static_cast<double>(countLimitedReplicas(environment.forward.replicaTable)));
     addHistogram(text, "request_seconds", "From a request's arrival to its answer.", counters.answerTimes);
     addHistogram(text, "attempt_seconds", "From sending to a replica to its good answer.", counters.attemptTimes);
     return text;
--- a/Libraries/LibFront/ReplyClass.cpp
+++ b/Libraries/LibFront/ReplyClass.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace Front
 {
@@ -66,6 +67,15 @@
     return Forward::load_report {numbers[0], numbers[1], numbers[2], now};
 }
 
+std::optional<double> parseRequestLimit(std::string_view text)
+{
+    double perSecond = 0.0;
+    const char *const end = text.data() + text.size();
+    const auto [next, failure] = std::from_chars(text.data(), end, perSecond, std::chars_format::fixed);
+    const bool isRate = failure == std::errc() && next == end && std::isfinite(perSecond) && perSecond >= 0.0;
+    return isRate ? std::optional(perSecond) : std::nullopt;
+}
+
 answer makeForwardedAnswer(reply_message &&reply)
 {
     answer result;
--- a/Libraries/LibFront/ReplyClass.h
+++ b/Libraries/LibFront/ReplyClass.h
@@ -30,6 +30,9 @@
 /// Parses "running, waiting, slots". Returns nothing if the text is malformed.
 [[nodiscard]] std::optional<Forward::load_report> parseLoad(std::string_view text, Core::time_point now);
 
+/// Parses a request rate in requests per second: a decimal number, 0 or more. Returns nothing if the text is malformed.
+[[nodiscard]] std::optional<double> parseRequestLimit(std::string_view text);
+
 /// Converts a replica's response to the response for the caller.
 [[nodiscard]] answer makeForwardedAnswer(reply_message &&reply);
 } // namespace Front
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -121,6 +121,7 @@
 {
     recordReportedLoad(sent, reply, now);
     const reply_class kind = classifyReply(reply, m_environment.names, m_request.plan.matched->isScatterGather());
+    recordStatedLimit(sent, reply, kind, now);
     if (kind != reply_class::Success) {
         const Forward::attempt_failure failure = failureOf(kind);
         if (kind == reply_class::Failure && !m_request.finished) {
@@ -182,6 +183,46 @@
     }
 }
 
+void request_task::recordStatedLimit(const open_attempt &sent, const reply_message &reply, reply_class kind,
+                                     Core::time_point now)
+{
+    if (kind == reply_class::OtherInstance || kind == reply_class::Malformed) {
+        return;
+    }
+    const bool isStated = reply.count(m_environment.names.requestLimit) > 0;
+    if (!isStated && kind != reply_class::Success) {
+        return; // Only an answer shows that the replica needs no limit any more.
+    }
+    Forward::replica_state &replica = Forward::replicaAt(m_environment.forward.replicaTable, sent.replica);
+    const auto stated = isStated ? parseRequestLimit(reply[m_environment.names.requestLimit]) : std::nullopt;
+    if (isStated && !stated) {
+        m_environment.log.write("replica_limit_unreadable",
+                                {{"replica", replica.registration.id},
+                                 {"text", std::string_view(reply[m_environment.names.requestLimit]).substr(0, 32)}});
+        return;
+    }
+    const Forward::request_limit before = replica.requestLimit.value_or(Forward::request_limit {});
+    if (!Forward::recordRequestLimit(replica, stated, now)) {
+        return;
+    }
+    boost::json::object fields {
+        {"replica", replica.registration.id},
+        {"service", replica.registration.service},
+        {"limit", nullptr},
+        {"before", nullptr},
+        {"attempts", before.attempts},
+        {"hedges", before.hedges},
+    };
+    if (stated) {
+        fields["limit"] = *stated;
+    }
+    if (before.perSecond > 0.0) {
+        fields["before"] = before.perSecond;
+        fields["stated_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now - before.since).count();
+    }
+    m_environment.log.write("replica_limit", std::move(fields));
+}
+
 void request_task::scheduleWakeup(Core::time_point when)
 {
     if (m_wakeupTimer) {
