LibForward: Divide a replica's stated request limit among the daemons

Cause: the limit was a field of the answers that no daemon read: the platform's pages had gained it, and nothing in the choice of a replica knew a rate. Class: a limit for the whole fleet that each daemon neither knows nor shares. Evidence: with the limit logged, all daemons read it within 0.7 s and went on at the same rate; each near daemon sends less than the whole limit, so that applying it per daemon (hypothesis 2) would change nothing; the rule was broken two seconds before the restart (3); hedges are 3 in 100 of it (4). Change: the daemons divide the limit by the membership view, most of it in the replica's region, few shares where the limit is small; each keeps a token bucket; hedges go elsewhere; unsent attempts give their tokens back; a daemon without a share asks now and then whether the limit still holds. Why it works: the sum of all shares is the limit, whatever the number of daemons, and over 4 s at most five times the limit and two requests, where six times and five are allowed; membership views that differ for a while fit in between.

--- a/Libraries/LibForward/ChoiceFilter.h
+++ b/Libraries/LibForward/ChoiceFilter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibForward/AttemptKind.h"
 #include "LibRollout/VersionSide.h"
 
 #include <cstddef>
@@ -13,6 +14,7 @@
 
 /// Restricts which replicas of a service may be chosen for one attempt.
 struct choice_filter {
+    attempt_kind kind = attempt_kind::First;
     const service_policy *policy = nullptr; ///< The service's policy; null if the configuration has none.
     std::span<const std::string> allowedRegions {}; ///< Empty: all regions are allowed.
     const rollout_state *rollout = nullptr; ///< The service's rollout; null if any version may be chosen.
--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ExpectedLatency.h"
 #include "LibForward/ReplicaTable.h"
+#include "LibForward/RequestLimits.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibMembership/RendezvousWeight.h"
 
@@ -68,7 +69,8 @@
     return !replica.removed && !replica.registration.draining
         && !replicaTable.evacuatedDataCentres.contains(replica.registration.dataCentre)
         && isRegionAllowed(replicaTable, replica, filter.allowedRegions)
-        && isWithinColdLimit(replicaTable, replica, filter.policy, now);
+        && isWithinColdLimit(replicaTable, replica, filter.policy, now)
+        && isWithinRequestLimit(replica, filter.kind, now);
 }
 
 bool isAvoided(const replica_state &replica, Core::time_point now)
--- a/Libraries/LibForward/ReplicaEvents.cpp
+++ b/Libraries/LibForward/ReplicaEvents.cpp
@@ -1,14 +1,13 @@
 #include "LibForward/ReplicaEvents.h"
 
 #include "LibForward/AttemptFailure.h"
-#include "LibForward/AttemptKind.h"
 #include "LibForward/ExpectedLatency.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/ReplicaTable.h"
+#include "LibForward/RequestLimits.h"
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace Forward
 {
@@ -60,14 +59,11 @@
     return replica.errorRate * std::exp2(-Core::toSeconds(now - replica.errorRateAt) / Core::toSeconds(errorHalfLife));
 }
 
-void recordSent(replica_table &replicaTable, const replica_key &key, attempt_kind kind, Core::time_point now)
+void recordSent(replica_table &replicaTable, const replica_key &key, Core::time_point now)
 {
     replica_state &replica = replicaAt(replicaTable, key);
+    takeLimitedRequest(replica, now);
     replica.outstanding.push_back(now);
-    if (replica.requestLimit) {
-        ++replica.requestLimit->attempts;
-        replica.requestLimit->hedges += kind == attempt_kind::Hedge ? 1 : 0;
-    }
 }
 
 void recordAnswer(replica_table &replicaTable, const replica_key &key, Core::time_point sentAt, Core::time_point now)
@@ -91,6 +87,9 @@
 {
     replica_state &replica = replicaAt(replicaTable, key);
     removeOutstanding(replica, sentAt);
+    if (isUnsent(failure)) {
+        returnLimitedRequest(replica, now);
+    }
     if (failure == attempt_failure::Withdrawn) {
         return; // The replica had no part in it.
     }
@@ -116,19 +115,4 @@
 {
     replicaAt(replicaTable, key).load = report;
 }
-
-bool recordRequestLimit(replica_state &replica, std::optional<double> perSecond, Core::time_point now)
-{
-    if (!perSecond) {
-        const bool hadLimit = replica.requestLimit.has_value();
-        replica.requestLimit.reset();
-        return hadLimit;
-    }
-    if (!replica.requestLimit) {
-        replica.requestLimit = {.perSecond = *perSecond, .since = now, .statedAt = now};
-        return true;
-    }
-    replica.requestLimit->statedAt = now;
-    return std::exchange(replica.requestLimit->perSecond, *perSecond) != *perSecond;
-}
 } // namespace Forward
--- a/Libraries/LibForward/ReplicaTable.h
+++ b/Libraries/LibForward/ReplicaTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibForward/LimitSharers.h"
 #include "LibForward/RetryLimits.h"
 #include "LibForward/ServiceState.h"
 
@@ -26,6 +27,7 @@
     std::size_t daemons = 1; ///< Daemons that share connections and slow-start limits, this one included.
     std::uint64_t ownHash = 0; ///< Hash of this daemon's name.
     std::vector<std::uint64_t> otherHashes; ///< Hashes of the names of the others that share slow-start limits.
+    limit_sharers limitSharers;
     double coldOvershoot = 1.0; ///< Tolerated multiple of a service's configured cold request rate.
     double coldSlack = 0.0; ///< Requests per second tolerated beyond that, over all daemons.
 };
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -36,10 +36,12 @@
 }
 
 static std::optional<std::size_t> chooseReplicaFor(const request_state &request, const subrequest_state &subrequest,
-                                                   forward_context &context, std::size_t service, Core::time_point now)
+                                                   attempt_kind kind, forward_context &context, std::size_t service,
+                                                   Core::time_point now)
 {
     const service_state &state = *context.replicaTable.services[service];
-    choice_filter filter {.policy = policyOf(request.plan, state),
+    choice_filter filter {.kind = kind,
+                          .policy = policyOf(request.plan, state),
                           .allowedRegions = request.plan.matched->allowedRegions,
                           .tried = {subrequest.tried.data(), subrequest.tried.size()}};
     const auto rollout = context.rollouts.find(state.name);
@@ -64,7 +66,7 @@
 {
     subrequest_state &subrequest = request.subrequests[subrequestIndex];
     const replica_key key {request.plan.services[subrequestIndex], replica};
-    recordSent(context.replicaTable, key, kind, now);
+    recordSent(context.replicaTable, key, now);
     recordColdRequest(replicaAt(context.replicaTable, key), now);
     const std::uint32_t attempt = request.nextAttempt++;
     subrequest.tried.push_back(replica);
@@ -194,7 +196,8 @@
         subrequest_state &subrequest = request.subrequests[index];
         const std::size_t service = request.plan.services[index];
         recordFirstAttempt(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits, now);
-        const std::optional<std::size_t> replica = chooseReplicaFor(request, subrequest, context, service, now);
+        const std::optional<std::size_t> replica =
+            chooseReplicaFor(request, subrequest, attempt_kind::First, context, service, now);
         const bool isShardPresumedDown = replica
             && isPresumedDown(context.replicaTable.services[service]->replicas[*replica], now)
             && request.openSubrequests > request.plan.requiredSubrequests;
@@ -275,7 +278,8 @@
 {
     subrequest_state &subrequest = request.subrequests[index];
     const std::size_t service = request.plan.services[index];
-    const std::optional<std::size_t> replica = chooseReplicaFor(request, subrequest, context, service, now);
+    const std::optional<std::size_t> replica =
+        chooseReplicaFor(request, subrequest, attempt_kind::Retry, context, service, now);
     // If no attempt has reached the service so far, this one counts as the first and needs no retry budget.
     const bool isFirst = subrequest.sends == 0;
     if (replica
@@ -351,7 +355,8 @@
         }
         subrequest.hedgeAt.reset();
         const std::size_t service = request.plan.services[index];
-        const std::optional<std::size_t> replica = chooseReplicaFor(request, subrequest, context, service, now);
+        const std::optional<std::size_t> replica =
+            chooseReplicaFor(request, subrequest, attempt_kind::Hedge, context, service, now);
         const bool hasHedgeCapacity = !request.countedByLimit || mayHedge(concurrencyLimitFor(request, context));
         const bool shouldHedge =
             hasHedgeCapacity && replica && !isAvoided(context.replicaTable.services[service]->replicas[*replica], now);
--- a/Libraries/LibForward/SharedLimits.cpp
+++ b/Libraries/LibForward/SharedLimits.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/SharedLimits.h"
 
 #include "LibForward/ReplicaTable.h"
+#include "LibForward/RequestLimits.h"
 #include "LibForward/RetryEvents.h"
 #include "LibForward/SharingState.h"
 
@@ -18,6 +19,9 @@
 /// Fraction of a replica's connections that the daemons share. The rest is a reserve while daemons join and leave, and
 /// for daemons that are not active.
 static constexpr double sharedConnectionFraction = 0.85;
+/// Fraction of a replica's request limit for the daemons that are not active. The active ones share the whole limit;
+/// the sum stays below what replicas tolerate.
+static constexpr double inactiveFraction = 0.1;
 
 namespace
 {
@@ -55,6 +59,34 @@
     return hashes;
 }
 
+static void addSharer(limit_sharers &sharers, const Membership::member_record &daemon,
+                      const Configuration::configuration_document &topology)
+{
+    const auto dataCentre = topology.dataCentres.find(daemon.dataCentre);
+    const std::string region = dataCentre == topology.dataCentres.end() ? "" : dataCentre->second.region;
+    sharers.byRegion[region].push_back(Membership::hashName(daemon.name));
+}
+
+static limit_sharers sharersOf(const Membership::active_sets &active, bool includesSelf,
+                               const Membership::member_table &members, const Membership::membership_settings &settings,
+                               const Configuration::configuration_document &topology, Core::time_point now)
+{
+    limit_sharers sharers;
+    if (includesSelf) {
+        for (const auto &[dataCentre, daemons] : active) {
+            for (const Membership::member_record *daemon : daemons) {
+                addSharer(sharers, *daemon, topology);
+            }
+        }
+        return sharers;
+    }
+    sharers.fraction = inactiveFraction;
+    for (const Membership::member_record *daemon : Membership::liveMembers(members, settings, now)) {
+        addSharer(sharers, *daemon, topology);
+    }
+    return sharers;
+}
+
 std::size_t connectionsPerReplica(const replica_table &replicaTable, double accepted)
 {
     const auto daemons = static_cast<double>(std::max<std::size_t>(replicaTable.daemons, 1));
@@ -65,7 +97,8 @@
                         const Membership::member_table &members, const Membership::membership_settings &settings,
                         const Configuration::configuration_document &topology, Core::time_point now)
 {
-    const active_view view = viewOf(Membership::activeMembers(members, settings, topology, now), members.self);
+    const Membership::active_sets active = Membership::activeMembers(members, settings, topology, now);
+    const active_view view = viewOf(active, members.self);
     state.isActive = view.includesSelf;
     // A window, and the time after which a replaced daemon's last retries have left every window.
     const Core::duration retention = 2 * fleetLimits.window;
@@ -76,6 +109,8 @@
     replicaTable.otherHashes = view.includesSelf ? view.fleet : liveHashes(members, settings, now);
     std::erase(replicaTable.otherHashes, replicaTable.ownHash);
     replicaTable.daemons = view.includesSelf ? recentlyActive : replicaTable.otherHashes.size() + 1;
+    replicaTable.limitSharers = sharersOf(active, view.includesSelf, members, settings, topology, now);
+    updateRequestShares(replicaTable, now);
 
     const bool holdsSlack = view.includesSelf && Membership::seesMajority(members, settings, now);
     if (!holdsSlack) {
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/AttemptFailure.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/RequestLimits.h"
 #include "LibForward/RetryAfter.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/SharedLimits.h"
@@ -202,7 +203,7 @@
         return;
     }
     const Forward::request_limit before = replica.requestLimit.value_or(Forward::request_limit {});
-    if (!Forward::recordRequestLimit(replica, stated, now)) {
+    if (!Forward::recordRequestLimit(m_environment.forward.replicaTable, replica, stated, now)) {
         return;
     }
     boost::json::object fields {
@@ -211,10 +212,10 @@
         {"limit", nullptr},
         {"before", nullptr},
         {"attempts", before.attempts},
-        {"hedges", before.hedges},
     };
     if (stated) {
         fields["limit"] = *stated;
+        fields["own_share"] = replica.requestLimit->ownRate;
     }
     if (before.perSecond > 0.0) {
         fields["before"] = before.perSecond;
--- a/Tests/LibForward/LimitedFleet.cpp
+++ b/Tests/LibForward/LimitedFleet.cpp
@@ -7,6 +7,7 @@
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestEvents.h"
+#include "LibForward/RequestLimits.h"
 #include "LibForward/SendAttempt.h"
 #include "LibForward/SharedLimits.h"
 #include "LibForward/TrafficConfiguration.h"
@@ -216,8 +217,8 @@
     Forward::replica_state &replica = Forward::replicaAt(daemon.context.replicaTable, send.replica);
     const auto limit = m_limits.find(send.replica);
     const bool isLimited = limit != m_limits.end() && limit->second > 0.0;
-    static_cast<void>(
-        Forward::recordRequestLimit(replica, isLimited ? std::optional(limit->second) : std::nullopt, m_now));
+    static_cast<void>(Forward::recordRequestLimit(daemon.context.replicaTable, replica,
+                                                  isLimited ? std::optional(limit->second) : std::nullopt, m_now));
     if (isLimited) {
         daemon.toldAt.try_emplace(send.replica, m_now);
     } else {
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -1,7 +1,6 @@
 #include "Fixtures.h"
 
 #include "LibForward/AttemptFailure.h"
-#include "LibForward/AttemptKind.h"
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ReplicaEvents.h"
@@ -50,7 +49,7 @@
 TEST_F(choose_replica_test, ChoosesOtherReplicaWhenNearestIsLoaded)
 {
     for (int sent = 0; sent < 8; ++sent) {
-        Forward::recordSent(m_context.replicaTable, keyOf(0), Forward::attempt_kind::First, m_now);
+        Forward::recordSent(m_context.replicaTable, keyOf(0), m_now);
     }
     EXPECT_NE(choose(), "r-a");
 }
@@ -58,7 +57,7 @@
 /// A paused replica keeps its requests. New requests go to other replicas without using the retry budget.
 TEST_F(choose_replica_test, AvoidsStalledReplicaUntilItResponds)
 {
-    Forward::recordSent(m_context.replicaTable, keyOf(0), Forward::attempt_kind::First, m_now);
+    Forward::recordSent(m_context.replicaTable, keyOf(0), m_now);
     m_now += 60ms;
     EXPECT_NE(choose(), "r-a");
     Forward::recordAnswer(m_context.replicaTable, keyOf(0), m_now - 60ms, m_now);
@@ -68,7 +67,7 @@
 
 TEST_F(choose_replica_test, AvoidsReplicaForAWhileAfterFailure)
 {
-    Forward::recordSent(m_context.replicaTable, keyOf(0), Forward::attempt_kind::First, m_now);
+    Forward::recordSent(m_context.replicaTable, keyOf(0), m_now);
     Forward::recordFailure(m_context.replicaTable, keyOf(0), Forward::attempt_failure::ConnectionLost, m_now, m_now);
     EXPECT_NE(choose(), "r-a");
     m_now += 30s;
@@ -182,7 +181,7 @@
 
 TEST_F(choose_replica_test, ResetsStateWhenReplicaRestartsUnderTheSameId)
 {
-    Forward::recordSent(m_context.replicaTable, keyOf(0), Forward::attempt_kind::First, m_now);
+    Forward::recordSent(m_context.replicaTable, keyOf(0), m_now);
     Forward::recordFailure(m_context.replicaTable, keyOf(0), Forward::attempt_failure::ConnectionLost, m_now, m_now);
     Forward::replica_registration restarted = Fixtures::replicaRegistration("r-a", "s0", "a");
     EXPECT_FALSE(Forward::applyRegistration(m_context.replicaTable, restarted, m_now).has_value());
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -349,7 +349,7 @@
     addReplicas(10);
     for (std::size_t replica = 0; replica < 3; ++replica) {
         for (int failure = 0; failure < 3; ++failure) {
-            Forward::recordSent(m_context.replicaTable, {4, replica}, Forward::attempt_kind::First, m_now);
+            Forward::recordSent(m_context.replicaTable, {4, replica}, m_now);
             Forward::recordFailure(m_context.replicaTable, {4, replica}, attempt_failure::NoResponse, m_now, m_now);
         }
     }
@@ -373,7 +373,7 @@
     addReplicas(2);
     for (std::size_t replica = 0; replica < 3; ++replica) {
         for (int failure = 0; failure < 3; ++failure) {
-            Forward::recordSent(m_context.replicaTable, {0, replica}, Forward::attempt_kind::First, m_now);
+            Forward::recordSent(m_context.replicaTable, {0, replica}, m_now);
             Forward::recordFailure(m_context.replicaTable, {0, replica}, attempt_failure::NoResponse, m_now, m_now);
         }
     }
