Tests: Play small limits, restarts, moving callers and the end of a limit

Cause: the regression test of the incident plays one pattern; the decision has more edges: limits smaller than the number of daemons, a limit of 0, daemons that restart, callers that move, all replicas of a shard limited, the end of a limit for daemons without a share, unsent attempts.

--- a/Tests/LibForward/TestRequestLimits.cpp
+++ b/Tests/LibForward/TestRequestLimits.cpp
@@ -1,5 +1,13 @@
+#include "Fixtures.h"
 #include "LimitedFleet.h"
 
+#include "LibForward/AttemptFailure.h"
+#include "LibForward/AttemptKind.h"
+#include "LibForward/ReplicaEvents.h"
+#include "LibForward/ReplicaList.h"
+#include "LibForward/RequestLimits.h"
+#include "LibMembership/RendezvousWeight.h"
+
 #include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
@@ -51,3 +59,223 @@
     EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 2, settled), allowedIn4Seconds(20.0));
     EXPECT_GE(fleet.totals.answered * 100, fleet.totals.requests * 99) << "the third replica has room for the others";
 }
+
+/// A limit of a few requests a second, or of less than one, is smaller than the number of daemons.
+TEST_P(request_limit_test, RequestsOfManyDaemonsStayWithinASmallLimit)
+{
+    for (const double limit : {0.3, 1.0, 4.0}) {
+        limited_fleet fleet = makeFleet(1, 1.0);
+        fleet.run(requestsPerSecond, 2s);
+        fleet.setLimit(0, 1, limit);
+        fleet.run(requestsPerSecond, 2s);
+        const Core::time_point settled = fleet.now();
+        fleet.run(requestsPerSecond, 40s);
+        EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 1, settled), allowedIn4Seconds(limit)) << limit;
+    }
+}
+
+/// Each restarted daemon knows no limit until the replica's first answer.
+TEST_P(request_limit_test, RequestsStayWithinTheLimitWhileDaemonsRestart)
+{
+    limited_fleet fleet = makeFleet(1, 1.0);
+    fleet.setLimit(0, 1, 30.0);
+    fleet.setLimit(0, 2, 30.0);
+    fleet.run(requestsPerSecond, 2s);
+    const Core::time_point settled = fleet.now();
+    for (std::size_t count = 0; count < 20; ++count) {
+        fleet.restart(count * 7 % GetParam().daemons);
+        fleet.run(requestsPerSecond, 500ms);
+    }
+    EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 1, settled), allowedIn4Seconds(30.0));
+    EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 2, settled), allowedIn4Seconds(30.0));
+}
+
+TEST_P(request_limit_test, RequestsStayWithinTheLimitWhenAllCallersMoveToOneDataCentre)
+{
+    limited_fleet fleet = makeFleet(1, 1.0);
+    fleet.setLimit(0, 1, 30.0);
+    fleet.setLimit(0, 2, 30.0);
+    fleet.run(requestsPerSecond, 2s);
+    const Core::time_point settled = fleet.now();
+    fleet.totals = {};
+    for (const std::size_t dataCentre : {1U, 2U, 1U}) {
+        fleet.moveCallers(dataCentre);
+        fleet.run(requestsPerSecond, 5s);
+    }
+    EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 1, settled), allowedIn4Seconds(30.0));
+    EXPECT_LE(fleet.mostRequestsIn4Seconds(0, 2, settled), allowedIn4Seconds(30.0));
+    EXPECT_EQ(fleet.totals.refused, 0U) << "the third replica has room for the others";
+}
+
+/// All replicas of the only shard state limits: what they offer is used, and the other requests are refused at once.
+TEST_P(request_limit_test, UsesWhatLimitedReplicasOffer)
+{
+    limited_fleet fleet = makeFleet(1, 1.0);
+    constexpr double limit = 30.0;
+    for (std::size_t dataCentre = 0; dataCentre < 3; ++dataCentre) {
+        fleet.setLimit(0, dataCentre, limit);
+    }
+    fleet.run(requestsPerSecond, 2s);
+    fleet.totals = {};
+    const Core::time_point settled = fleet.now();
+    fleet.run(requestsPerSecond, 20s);
+    for (std::size_t dataCentre = 0; dataCentre < 3; ++dataCentre) {
+        EXPECT_LE(fleet.mostRequestsIn4Seconds(0, dataCentre, settled), allowedIn4Seconds(limit));
+        EXPECT_GE(fleet.meanRate(0, dataCentre, settled), limit * 0.8);
+    }
+    EXPECT_GE(fleet.totals.answered + fleet.totals.refused + 5, fleet.totals.requests);
+}
+
+/// The daemons without a share of the limit learn of its end as well.
+TEST_P(request_limit_test, ReplicaGetsItsUsualRateAgainAfterTheEndOfItsLimit)
+{
+    limited_fleet fleet = makeFleet(1, 1.0);
+    fleet.run(requestsPerSecond, 5s);
+    const double usual = fleet.meanRate(0, 1, fleet.now() - 4s);
+    fleet.setLimit(0, 1, 4.0);
+    fleet.run(requestsPerSecond, 20s);
+    EXPECT_LE(fleet.meanRate(0, 1, fleet.now() - 10s), 4.0 * 1.5);
+    fleet.setLimit(0, 1, 0.0);
+    fleet.run(requestsPerSecond, 60s);
+    EXPECT_GE(fleet.meanRate(0, 1, fleet.now() - 4s), usual * 0.8);
+}
+
+namespace
+{
+/// One daemon with one replica, which states a limit.
+class RequestLimits : public testing::Test
+{
+protected:
+    RequestLimits()
+    {
+        Forward::applyRegistration(table(), Fixtures::replicaRegistration("r", "s0", "a"), m_now);
+        table().ownHash = Membership::hashName("vm-0");
+        table().limitSharers.byRegion["ra"] = {table().ownHash};
+    }
+
+    Forward::replica_table &table()
+    {
+        return m_context.replicaTable;
+    }
+
+    Forward::replica_state &replica()
+    {
+        return Forward::replicaAt(table(), m_key);
+    }
+
+    bool state(std::optional<double> perSecond)
+    {
+        return Forward::recordRequestLimit(table(), replica(), perSecond, m_now);
+    }
+
+    bool isAllowed(Forward::attempt_kind kind = Forward::attempt_kind::First)
+    {
+        return Forward::isWithinRequestLimit(replica(), kind, m_now);
+    }
+
+    Forward::forward_context m_context = Fixtures::makeContext();
+    Forward::replica_key m_key {0, 0};
+    Core::time_point m_now {1000s};
+};
+} // namespace
+
+TEST_F(RequestLimits, AllowsTheStatedRateAndReportsChanges)
+{
+    EXPECT_TRUE(isAllowed());
+    EXPECT_TRUE(state(2.0));
+    EXPECT_FALSE(isAllowed()) << "the replica states a limit since it already gets too many";
+    EXPECT_FALSE(state(2.0));
+    m_now += 500ms;
+    EXPECT_TRUE(isAllowed());
+    Forward::recordSent(table(), m_key, m_now);
+    EXPECT_FALSE(isAllowed());
+    EXPECT_TRUE(state(20.0));
+    m_now += 50ms;
+    EXPECT_TRUE(isAllowed());
+    EXPECT_TRUE(state(std::nullopt));
+    EXPECT_FALSE(state(std::nullopt));
+    EXPECT_TRUE(isAllowed());
+}
+
+TEST_F(RequestLimits, UnusedRequestsAccumulateForAQuarterOfASecondOnly)
+{
+    EXPECT_TRUE(state(20.0));
+    m_now += 10s;
+    for (int request = 0; request < 5; ++request) {
+        EXPECT_TRUE(isAllowed());
+        Forward::recordSent(table(), m_key, m_now);
+    }
+    EXPECT_FALSE(isAllowed());
+}
+
+TEST_F(RequestLimits, NeverAllowsHedges)
+{
+    EXPECT_TRUE(isAllowed(Forward::attempt_kind::Hedge));
+    EXPECT_TRUE(state(2.0));
+    m_now += 10s;
+    EXPECT_FALSE(isAllowed(Forward::attempt_kind::Hedge));
+    EXPECT_TRUE(isAllowed(Forward::attempt_kind::Retry));
+}
+
+TEST_F(RequestLimits, UnsentAttemptIsNotCounted)
+{
+    EXPECT_TRUE(state(2.0));
+    m_now += 500ms;
+    for (const auto failure : {Forward::attempt_failure::Withdrawn, Forward::attempt_failure::NotSent}) {
+        ASSERT_TRUE(isAllowed());
+        Forward::recordSent(table(), m_key, m_now);
+        ASSERT_FALSE(isAllowed());
+        Forward::recordFailure(table(), m_key, failure, m_now, m_now);
+        EXPECT_TRUE(isAllowed());
+    }
+    Forward::recordSent(table(), m_key, m_now);
+    Forward::recordFailure(table(), m_key, Forward::attempt_failure::NotExecuted, m_now, m_now);
+    EXPECT_FALSE(isAllowed()) << "a refused request has reached the replica";
+}
+
+TEST_F(RequestLimits, DaemonWithoutAShareAsksOnceWhenItHasNotHeardOfTheLimitForLong)
+{
+    for (int other = 1; other < 40; ++other) {
+        table().limitSharers.byRegion["ra"].push_back(Membership::hashName("vm-" + std::to_string(other)));
+    }
+    for (int index = 0; index < 40; ++index) {
+        table().ownHash = Membership::hashName("vm-" + std::to_string(index));
+        replica().requestLimit.reset();
+        EXPECT_TRUE(state(1.0));
+        if (replica().requestLimit->ownRate == 0.0) {
+            break;
+        }
+    }
+    ASSERT_EQ(replica().requestLimit->ownRate, 0.0);
+    m_now += 5s;
+    EXPECT_FALSE(isAllowed());
+    m_now += 55s;
+    EXPECT_TRUE(isAllowed());
+    Forward::recordSent(table(), m_key, m_now);
+    EXPECT_FALSE(isAllowed()) << "one request asks";
+    const Core::time_point sentAt = m_now;
+    m_now += 20ms;
+    EXPECT_FALSE(state(1.0));
+    Forward::recordAnswer(table(), m_key, sentAt, m_now);
+    EXPECT_FALSE(isAllowed());
+}
+
+/// A limit of 0 asks for no requests. Its end must be noticed all the same.
+TEST_F(RequestLimits, LimitOfZeroAllowsNothingButTheQuestionWhetherItHolds)
+{
+    EXPECT_TRUE(state(0.0));
+    m_now += 4s;
+    EXPECT_FALSE(isAllowed());
+    m_now += 60s;
+    EXPECT_TRUE(isAllowed());
+}
+
+TEST_F(RequestLimits, RestartedReplicaHasNoLimit)
+{
+    EXPECT_TRUE(state(0.0));
+    Forward::replica_registration restarted = Fixtures::replicaRegistration("r", "s0", "a");
+    restarted.startedAt = 2;
+    const auto key = Forward::applyRegistration(table(), restarted, m_now);
+    ASSERT_TRUE(key);
+    EXPECT_FALSE(Forward::replicaAt(table(), *key).requestLimit);
+}
