LibForward: Refuse queries at once whose shards lack replicas, before asking the others

What callers saw: a query over ten shards of which two had no eligible replica ended with 502, after the eight others had been asked in vain; with request limits it happens whenever shares are used up. 502 promises nothing, and what the others ran was spent for nothing. Cause: replicas were chosen and asked shard by shard; whether enough shards can be asked was known only at the end. Change: replicas are chosen for all shards first; if too few have one, the request is refused as not run and nothing is sent. Where used-up limits are the cause, Retry-After is that of an overload, 30 to 150 ms, not that of a missing replica. The choice for a request moves to a file of its own (ChooseForRequest).

--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -1,7 +1,8 @@
 #include "LibForward/RequestEvents.h"
 
 #include "LibForward/AttemptFailure.h"
-#include "LibForward/ChoiceFilter.h"
+#include "LibForward/AttemptKind.h"
+#include "LibForward/ChooseForRequest.h"
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ForwardContext.h"
 #include "LibForward/HedgeDelay.h"
@@ -29,38 +30,6 @@
 /// A response sent later than this after its deadline is unlikely to reach the caller within the target latency.
 static constexpr Core::duration lateTolerance = std::chrono::milliseconds(5);
 
-static const service_policy *policyOf(const request_plan &plan, const service_state &service)
-{
-    const auto found = plan.configuration->services.find(service.name);
-    return found == plan.configuration->services.end() ? nullptr : &found->second;
-}
-
-static std::optional<std::size_t> chooseReplicaFor(const request_state &request, const subrequest_state &subrequest,
-                                                   attempt_kind kind, forward_context &context, std::size_t service,
-                                                   Core::time_point now)
-{
-    const service_state &state = *context.replicaTable.services[service];
-    choice_filter filter {.kind = kind,
-                          .policy = policyOf(request.plan, state),
-                          .allowedRegions = request.plan.matched->allowedRegions,
-                          .tried = {subrequest.tried.data(), subrequest.tried.size()}};
-    const auto rollout = context.rollouts.find(state.name);
-    if (rollout == context.rollouts.end()) {
-        return chooseReplica(context.replicaTable, service, filter, now, context.random);
-    }
-    filter.rollout = &rollout->second;
-    filter.side = pickSide(rollout->second, context.random);
-    const auto chosen = chooseReplica(context.replicaTable, service, filter, now, context.random);
-    const bool isFinal = rollout->second.outcome == rollout_outcome::RolledBack;
-    if (chosen || isFinal) {
-        return chosen;
-    }
-    // Either side may have no replicas yet, or none left.
-    filter.side = filter.side == Rollout::version_side::New ? Rollout::version_side::Old : Rollout::version_side::New;
-    const bool mayUseOtherSide = filter.side == Rollout::version_side::Old || rollout->second.share >= 1.0;
-    return mayUseOtherSide ? chooseReplica(context.replicaTable, service, filter, now, context.random) : std::nullopt;
-}
-
 static void send(request_state &request, std::size_t subrequestIndex, std::size_t replica, attempt_kind kind,
                  forward_context &context, request_effects &effects, Core::time_point now)
 {
@@ -192,21 +161,24 @@
         request.countedByLimit = true;
         recordStart(limit);
     }
-    for (std::size_t index = 0; index < request.subrequests.size(); ++index) {
-        subrequest_state &subrequest = request.subrequests[index];
-        const std::size_t service = request.plan.services[index];
+    for (const std::size_t service : request.plan.services) {
         recordFirstAttempt(context.replicaTable.services[service]->retryBudget, context.replicaTable.retryLimits, now);
-        const std::optional<std::size_t> replica =
-            chooseReplicaFor(request, subrequest, attempt_kind::First, context, service, now);
-        const bool isShardPresumedDown = replica
-            && isPresumedDown(context.replicaTable.services[service]->replicas[*replica], now)
-            && request.openSubrequests > request.plan.requiredSubrequests;
-        if (!replica || isShardPresumedDown) {
-            closeSubrequest(request, subrequest, effects);
-            continue;
+    }
+    const std::vector<std::optional<std::size_t>> chosen = chooseFirstReplicas(request, context, now);
+    for (std::size_t index = 0; index < request.subrequests.size(); ++index) {
+        if (!chosen[index]) {
+            closeSubrequest(request, request.subrequests[index], effects);
+        }
+    }
+    if (request.openSubrequests < request.plan.requiredSubrequests) {
+        finish(request, request_outcome::NotRun, context, effects, now);
+        return effects;
+    }
+    for (std::size_t index = 0; index < request.subrequests.size(); ++index) {
+        if (chosen[index]) {
+            send(request, index, *chosen[index], attempt_kind::First, context, effects, now);
+            scheduleHedge(request, request.subrequests[index], context, now);
         }
-        send(request, index, *replica, attempt_kind::First, context, effects, now);
-        scheduleHedge(request, subrequest, context, now);
     }
     finishOrScheduleWake(request, context, effects, now);
     return effects;
@@ -278,8 +250,7 @@
 {
     subrequest_state &subrequest = request.subrequests[index];
     const std::size_t service = request.plan.services[index];
-    const std::optional<std::size_t> replica =
-        chooseReplicaFor(request, subrequest, attempt_kind::Retry, context, service, now);
+    const std::optional<std::size_t> replica = chooseReplicaFor(request, index, attempt_kind::Retry, context, now);
     // If no attempt has reached the service so far, this one counts as the first and needs no retry budget.
     const bool isFirst = subrequest.sends == 0;
     if (replica
@@ -355,8 +326,7 @@
         }
         subrequest.hedgeAt.reset();
         const std::size_t service = request.plan.services[index];
-        const std::optional<std::size_t> replica =
-            chooseReplicaFor(request, subrequest, attempt_kind::Hedge, context, service, now);
+        const std::optional<std::size_t> replica = chooseReplicaFor(request, index, attempt_kind::Hedge, context, now);
         const bool hasHedgeCapacity = !request.countedByLimit || mayHedge(concurrencyLimitFor(request, context));
         const bool shouldHedge =
             hasHedgeCapacity && replica && !isAvoided(context.replicaTable.services[service]->replicas[*replica], now);
--- a/Libraries/LibForward/RetryAfter.cpp
+++ b/Libraries/LibForward/RetryAfter.cpp
@@ -35,10 +35,10 @@
 refusal_cause refusalCauseOf(const request_state &request)
 {
     // Without subrequests the concurrency limit refused the request.
-    const bool isRefusedByReplica =
+    const bool lacksCapacity =
         std::any_of(request.subrequests.begin(), request.subrequests.end(),
-                    [](const subrequest_state &subrequest) { return subrequest.refusals > 0; });
-    return request.subrequests.empty() || isRefusedByReplica ? refusal_cause::Overload : refusal_cause::Unavailable;
+                    [](const subrequest_state &subrequest) { return subrequest.refusals > 0 || subrequest.isLimited; });
+    return request.subrequests.empty() || lacksCapacity ? refusal_cause::Overload : refusal_cause::Unavailable;
 }
 
 Core::duration randomRetryAfter(refusal_cause cause, Core::random_engine &random)
--- a/Libraries/LibForward/SubrequestState.h
+++ b/Libraries/LibForward/SubrequestState.h
@@ -14,6 +14,7 @@
 struct subrequest_state {
     bool open = true;
     std::optional<partial_result> answer;
+    bool isLimited = false; ///< No replica was chosen, because of limits that replicas state.
     unsigned sends = 0; ///< Attempts that may have reached a replica.
     unsigned refusals = 0; ///< Of these, attempts that the replica did not execute.
     unsigned unsentAttempts = 0; ///< Attempts that found no connection.
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
 #include "LibForward/RequestEvents.h"
+#include "LibForward/RequestLimits.h"
 #include "LibForward/RequestState.h"
 #include "LibForward/RetryAfter.h"
 #include "LibForward/RetryEvents.h"
@@ -142,6 +143,17 @@
     EXPECT_EQ(fail(retried.sends[0].attempt, attempt_failure::ConnectionLost).finished, request_outcome::Failed);
 }
 
+/// Two of ten shards have no replica, and the route needs nine. Until now the eight others were asked in vain, and the
+/// request ended as failed.
+TEST_F(request_events_test, RefusesAtOnceWithoutSendingWhenTooFewShardsHaveAReplica)
+{
+    addReplicas(8);
+    const auto started = start(Fixtures::scatterGatherConfiguration(10, 0.89), 1200ms);
+    EXPECT_TRUE(started.sends.empty());
+    EXPECT_EQ(started.finished, request_outcome::NotRun);
+    EXPECT_EQ(m_request.retries, 0U);
+}
+
 TEST_F(request_events_test, EndsAsNotRunWhenNoReplicaIsRegistered)
 {
     const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::AtMostOnce), 4000ms);
@@ -217,6 +229,19 @@
     EXPECT_LE(delayAfter(), 150ms) << "a full replica has room again after a few service times";
 }
 
+/// The limit of a replica leaves room again within a fraction of a second.
+TEST_F(request_events_test, RefusalStatesAShortDelayWhenRequestLimitsAreTheCause)
+{
+    addReplicas(1);
+    for (std::size_t replica = 0; replica < 3; ++replica) {
+        EXPECT_TRUE(Forward::recordRequestLimit(m_context.replicaTable,
+                                                Forward::replicaAt(m_context.replicaTable, {0, replica}), 5.0, m_now));
+    }
+    const auto started = start(Fixtures::singleServiceConfiguration(Forward::retry_policy::Idempotent), 4000ms);
+    EXPECT_EQ(started.finished, request_outcome::NotRun);
+    EXPECT_LE(Forward::randomRetryAfter(Forward::refusalCauseOf(m_request), m_context.random), 150ms);
+}
+
 /// Further attempts would take the budget from requests that can still be served.
 TEST_F(request_events_test, EndsAsNotRunWhenReplicasRefuseAndTheRetryBudgetIsUsed)
 {
--- a/Tests/LibForward/TestRequestLimits.cpp
+++ b/Tests/LibForward/TestRequestLimits.cpp
@@ -126,6 +126,26 @@
     EXPECT_GE(fleet.totals.answered + fleet.totals.refused + 5, fleet.totals.requests);
 }
 
+/// Three of ten shards have limited replicas only, and the route needs nine: a request that finds too few of them free
+/// is refused before anything is sent, so that nothing of the limits is spent on requests that fail.
+TEST_P(request_limit_test, RefusesGathersThatCannotReachTheirCoverageBeforeSending)
+{
+    limited_fleet fleet = makeFleet(10, 0.89);
+    fleet.run(requestsPerSecond, 2s);
+    for (std::size_t shard = 0; shard < 3; ++shard) {
+        for (std::size_t dataCentre = 0; dataCentre < 3; ++dataCentre) {
+            fleet.setLimit(shard, dataCentre, 30.0);
+        }
+    }
+    fleet.run(requestsPerSecond, 2s);
+    fleet.totals = {};
+    fleet.run(requestsPerSecond, 10s);
+    const auto &totals = fleet.totals;
+    EXPECT_GE(totals.answered * 100, totals.requests * 45) << "the limits are half of the request rate";
+    EXPECT_GE(totals.answered + totals.refused + 10, totals.requests) << "nothing fails or times out";
+    EXPECT_LE(totals.attempts, totals.answered * 11) << "no attempts for refused requests";
+}
+
 /// The daemons without a share of the limit learn of its end as well.
 TEST_P(request_limit_test, ReplicaGetsItsUsualRateAgainAfterTheEndOfItsLimit)
 {
