Tests: State request limits in the soak, and judge them

Change: within the calm time of each run, two of three replicas of a service state a limit of 4 requests a second while daemons are stopped, reloaded and reconfigured; the judge counts what reaches them against 1.5 times the limit and 5 in 4 s, whichever daemon sent it. Drawn from the seed alone, so that earlier seeds play what they played. soak_judge_test.ReportsRequestsBeyondAStatedLimit makes it find one.

--- a/Tests/platform/Soak/Bounds.h
+++ b/Tests/platform/Soak/Bounds.h
@@ -18,5 +18,8 @@
 inline constexpr double repeatRatio = 0.2;
 inline constexpr std::chrono::seconds repeatWindow {10};
 inline constexpr double repeatSlack = 58.0;
+inline constexpr std::chrono::seconds limitWindow {4};
+inline constexpr double limitOvershoot = 1.5; ///< Tolerated multiple of a replica's stated request limit.
+inline constexpr double limitSlack = 5.0; ///< Requests tolerated beyond that in a window.
 inline constexpr double servedInCalm = 0.99; ///< Of the requests in a calm time after recovery.
 } // namespace Soak
--- a/Tests/platform/Soak/Disturber.cpp
+++ b/Tests/platform/Soak/Disturber.cpp
@@ -13,6 +13,7 @@
 {
 static constexpr std::chrono::milliseconds shortestGap {100}; ///< Between the begins of two troubles.
 static constexpr std::chrono::milliseconds longestGap {700};
+static constexpr std::size_t replicasPerService = 3;
 static constexpr std::chrono::milliseconds workGap {900}; ///< Between two pieces of planned work, at least.
 
 disturber::disturber(Front::timer_queue &timers, judge &rules, object_store &store, fleet &daemons,
@@ -331,4 +332,16 @@
         m_store.remove("evacuations", "z2");
     });
 }
+
+void disturber::limitRequests(std::size_t service, std::chrono::milliseconds length)
+{
+    constexpr double perSecond = 4.0; // A part of the usual rate.
+    for (std::size_t index = 0; index + 1 < replicasPerService; ++index) {
+        replica &place = *m_replicas[(service * replicasPerService + index) % m_replicas.size()];
+        m_judge.noteWork(place.id() + " states a request limit");
+        place.setRequestLimit(perSecond);
+        m_timers.schedule(std::chrono::steady_clock::now() + length,
+                          [&place](Core::time_point) { place.setRequestLimit(0.0); });
+    }
+}
 } // namespace Soak
--- a/Tests/platform/Soak/Disturber.h
+++ b/Tests/platform/Soak/Disturber.h
@@ -32,6 +32,8 @@
     void stormUntil(std::chrono::steady_clock::time_point end);
     /// Planned work only, until the given time.
     void workUntil(std::chrono::steady_clock::time_point end);
+    /// All replicas of a service but one state limits on their request rates for a while.
+    void limitRequests(std::size_t service, std::chrono::milliseconds length);
     /// Reports troubles that last.
     void look();
 
--- a/Tests/platform/Soak/Judge.cpp
+++ b/Tests/platform/Soak/Judge.cpp
@@ -77,6 +77,35 @@
     }
 }
 
+void judge::noteRequestLimit(const std::string &replica, double perSecond, std::chrono::steady_clock::time_point since)
+{
+    m_requestLimits.erase(replica);
+    if (perSecond > 0.0) {
+        m_requestLimits[replica] = {perSecond, since, {}};
+    }
+}
+
+void judge::checkRequestLimit(const std::string &replica, std::chrono::steady_clock::time_point now)
+{
+    const auto found = m_requestLimits.find(replica);
+    if (found == m_requestLimits.end() || now < found->second.since + stability) {
+        return;
+    }
+    stated_limit &limit = found->second;
+    limit.arrivals.push_back(now);
+    while (limit.arrivals.front() < now - limitWindow) {
+        limit.arrivals.pop_front();
+    }
+    const double windowSeconds = std::chrono::duration<double>(limitWindow).count();
+    const double allowed = limit.perSecond * limitOvershoot * windowSeconds + limitSlack;
+    if (static_cast<double>(limit.arrivals.size()) > allowed && isCalmSince(limit.since)) {
+        report("limit", "",
+               replica + " got " + std::to_string(limit.arrivals.size()) + " requests in a window, "
+                   + std::to_string(allowed) + " are allowed");
+        limit.arrivals.clear();
+    }
+}
+
 void judge::noteSent(const std::string &id, sent_request request)
 {
     if (m_checksRecovery) {
@@ -107,6 +136,7 @@
     if (out != m_outSince.end() && now > out->second + evacuationTime && isCalmSince(out->second)) {
         report("evacuation", id, "reached " + replica + " in " + dataCentre + ", which is out");
     }
+    checkRequestLimit(replica, now);
     const bool isFirst = m_seen.emplace(id, service).second;
     m_arrivals[service].push_back({now, isFirst});
     checkRepeats(service, now);
--- a/Tests/platform/Soak/Judge.h
+++ b/Tests/platform/Soak/Judge.h
@@ -31,6 +31,8 @@
     void noteConfiguration(std::uint64_t version, const std::string &movingService);
     void noteLeaving(const std::string &replica);
     void noteReady(const std::string &replica);
+    /// From `since` on the replica states a limit on its request rate; 0: none any more.
+    void noteRequestLimit(const std::string &replica, double perSecond, std::chrono::steady_clock::time_point since);
     void noteEvacuated(const std::string &dataCentre, bool isOut);
 
     void noteSent(const std::string &id, sent_request request);
@@ -64,6 +66,13 @@
         bool isFirst = false;
     };
 
+    struct stated_limit {
+        double perSecond = 0.0;
+        std::chrono::steady_clock::time_point since;
+        std::deque<std::chrono::steady_clock::time_point> arrivals; ///< In the latest window.
+    };
+
+    void checkRequestLimit(const std::string &replica, std::chrono::steady_clock::time_point now);
     void checkGathered(const std::string &id, const sent_request &request, const caller_answer &answer);
     void checkSingle(const std::string &id, const sent_request &request, const caller_answer &answer);
     void checkRepeats(const std::string &service, std::chrono::steady_clock::time_point now);
@@ -74,6 +83,7 @@
     std::map<std::string, sent_request> m_requests; ///< By id.
     std::map<std::string, std::chrono::steady_clock::time_point> m_leavingSince; ///< Replicas, by id.
     std::map<std::string, std::chrono::steady_clock::time_point> m_outSince; ///< Data centres.
+    std::map<std::string, stated_limit> m_requestLimits; ///< By replica.
     std::map<std::uint64_t, std::string> m_movingServices; ///< By configuration version.
     std::map<std::uint64_t, std::chrono::steady_clock::time_point> m_acceptedAt; ///< By configuration version.
     std::map<std::string, std::deque<arrival>> m_arrivals; ///< By service.
--- a/Tests/platform/Soak/Main.cpp
+++ b/Tests/platform/Soak/Main.cpp
@@ -31,6 +31,9 @@
 constexpr std::chrono::seconds stormTime {8};
 constexpr std::chrono::seconds workTime {20};
 constexpr std::chrono::seconds servedTime {5};
+/// Within the planned work: once the troubles have ended and bounds hold, until after the limits are checked.
+constexpr std::chrono::seconds limitsAfter {9};
+constexpr std::chrono::seconds limitTime {10};
 
 std::vector<std::unique_ptr<Soak::replica>> makeReplicas(boost::asio::io_context &loop, Front::timer_queue &timers,
                                                          Soak::judge &rules, std::uint64_t seed)
@@ -74,6 +77,7 @@
     const auto end = recovered + servedTime;
     at(firstStorm, [&]() { events.stormUntil(start + firstStorm + stormTime); });
     at(firstStorm + stormTime, [&]() { events.workUntil(start + secondStorm); });
+    at(firstStorm + stormTime + limitsAfter, [&]() { events.limitRequests(options.seed, limitTime); });
     at(secondStorm, [&]() { events.stormUntil(start + secondStorm + stormTime); });
     at(recovered, [&]() { rules.beginRecoveryCheck(); });
     at(end - 2s, [&]() { rules.endRecoveryCheck(); });
--- a/Tests/platform/Soak/Replica.cpp
+++ b/Tests/platform/Soak/Replica.cpp
@@ -38,6 +38,7 @@
     m_running = 0;
     m_waiting.clear();
     m_fault = replica_fault::None;
+    setRequestLimit(0.0);
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count();
     m_server = std::make_unique<raw_server>(m_loop, [this](raw_connection &peer) { onBytes(peer); });
@@ -59,6 +60,12 @@
     m_fault = fault;
 }
 
+void replica::setRequestLimit(double perSecond)
+{
+    m_requestLimit = perSecond;
+    m_judge.noteRequestLimit(m_id, perSecond, std::chrono::steady_clock::now());
+}
+
 bool replica::isRunning() const
 {
     return m_server != nullptr;
@@ -186,9 +193,11 @@
     body += "rest";
     const bool fails = m_fault == replica_fault::Failing;
     m_judge.notePart(asked.id, digest, {m_service, body, fails});
+    const std::string limit =
+        m_requestLimit > 0.0 ? "\r\nServer-Limit: " + std::to_string(m_requestLimit) : std::string();
     const std::string text = std::string("HTTP/1.1 ") + (fails ? "500" : "200") + " X\r\nRequest-Id: " + asked.id
-        + "\r\nServer-Stamp: " + digest + "\r\nKeep-Alive: timeout=4\r\nContent-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
+        + "\r\nServer-Stamp: " + digest + limit
+        + "\r\nKeep-Alive: timeout=4\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     switch (m_fault) {
     case replica_fault::Hanging:
         return;
--- a/Tests/platform/Soak/Replica.h
+++ b/Tests/platform/Soak/Replica.h
@@ -30,6 +30,8 @@
     /// Ends at once, as in a crash.
     void crash();
     void setFault(replica_fault fault);
+    /// States a limit on the request rate of all daemons together from now on; 0: none.
+    void setRequestLimit(double perSecond);
 
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] const std::string &id() const;
@@ -73,6 +75,7 @@
     std::deque<waiting_request> m_waiting;
     std::uint64_t m_start = 0; ///< Counts the starts, so that work of an earlier one is dropped.
     replica_fault m_fault = replica_fault::None;
+    double m_requestLimit = 0.0;
     std::string m_lastAnswer; ///< For extra answers.
 };
 } // namespace Soak
--- a/Tests/platform/TestSoakJudge.cpp
+++ b/Tests/platform/TestSoakJudge.cpp
@@ -186,3 +186,25 @@
     m_judge.finish();
     EXPECT_EQ(countFindings("recovery"), 1U);
 }
+
+/// The limit allows 1.5 x 4 requests a second x 4 s + 5 = 29 in a window.
+TEST_F(soak_judge_test, ReportsRequestsBeyondAStatedLimit)
+{
+    const auto now = std::chrono::steady_clock::now();
+    recordSent("r", route_kind::Gather);
+    const auto arrive = [this](int count) {
+        for (int request = 0; request < count; ++request) {
+            m_judge.noteArrival("r", "s0-0", "s0", "z1", "GET", "/r", "");
+        }
+    };
+    m_judge.noteRequestLimit("s0-0", 4.0, now - Soak::stability - std::chrono::seconds(1));
+    arrive(29);
+    EXPECT_EQ(countFindings("limit"), 0U);
+    arrive(1);
+    EXPECT_EQ(countFindings("limit"), 1U);
+    m_judge.noteRequestLimit("s0-0", 0.0, {});
+    arrive(40);
+    m_judge.noteRequestLimit("s0-0", 4.0, now);
+    arrive(40);
+    EXPECT_EQ(countFindings("limit"), 1U) << "without a limit, and before it is binding";
+}
