platform, LibFront: Drop two header names that nothing reads

Cause: looking for the incident's cause elsewhere (statements of replicas that no daemon reads) showed two names in the adapter, Warmup-Ms and Instance-Id, that are decoded nowhere. They stand in the answers of health checks only, and none are sent: a cold replica is known by its registration, and the instance by the refusal of another one. Change: the names are removed. Nothing else changes.

--- a/Libraries/LibFront/HeaderNames.h
+++ b/Libraries/LibFront/HeaderNames.h
@@ -10,11 +10,9 @@
     std::string remainingTime; ///< Milliseconds until the sender stops waiting.
     std::string digest; ///< Digest by which a replica proves that it answered this request.
     std::string targetInstance; ///< Id of the intended replica; any other replica rejects the request.
-    std::string instance; ///< Id of the responding replica.
     std::string load; ///< Running requests, waiting requests and slots, separated by commas.
     std::string requestLimit; ///< Requests per second that the replica accepts from all daemons together.
     std::string notExecuted; ///< Present if the replica did not execute the request.
-    std::string remainingSlowStart; ///< Milliseconds until the replica leaves slow start.
     std::string shardDigests; ///< Digests of the per-shard results, separated by commas.
     std::string missingShards; ///< Number of shards whose results are missing.
 };
