LibFront: Log which services were not asked because of request limits

Cause: a refusal that request limits cause had the same log line as one for lack of replicas; from its id an operator could not tell which.

--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -393,13 +393,21 @@
     };
     if (missing > 0) {
         boost::json::array missingServices;
+        boost::json::array limitedServices;
         for (std::size_t index = 0; index < m_request.subrequests.size(); ++index) {
-            if (!m_request.subrequests[index].answer) {
-                missingServices.emplace_back(
-                    m_environment.forward.replicaTable.services[m_request.plan.services[index]]->name);
+            const Forward::subrequest_state &subrequest = m_request.subrequests[index];
+            const std::string &name = m_environment.forward.replicaTable.services[m_request.plan.services[index]]->name;
+            if (!subrequest.answer) {
+                missingServices.emplace_back(name);
+            }
+            if (subrequest.isLimited) {
+                limitedServices.emplace_back(name);
             }
         }
         fields["lacking"] = std::move(missingServices);
+        if (!limitedServices.empty()) {
+            fields["limited"] = std::move(limitedServices);
+        }
     }
     m_environment.log.write("request", std::move(fields));
 }
--- a/Tests/platform/TestDaemon.cpp
+++ b/Tests/platform/TestDaemon.cpp
@@ -63,6 +63,56 @@
     EXPECT_TRUE(sendRequest(m_directory, "GET /api/resolve?zone=z1").starts_with("HTTP/1.1 503"));
 }
 
+/// Guards against a daemon that ignores the request rate that a replica states, and against one that never uses the
+/// replica again once the limit has ended.
+TEST_F(daemon_test, KeepsToTheRequestLimitThatAReplicaStates)
+{
+    constexpr double perSecond = 2.0;
+    double arrivals = 0;
+    std::string limit = "Server-Limit: 2.0\r\n";
+    raw_server only(m_loop, [&](raw_connection &peer) {
+        if (peer.received.find("\r\n\r\n") != std::string::npos) {
+            ++arrivals;
+            peer.received.clear();
+            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: digest\r\n" + limit
+                      + "Content-Length: 0\r\n\r\n");
+        }
+    });
+    m_store.putText("config", "main", sampleConfiguration);
+    addReplica("i-a", "a", only);
+    startDaemon();
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(sendRequest(m_front, "GET /s/1").starts_with("HTTP/1.1 200"));
+
+    const auto statedAt = std::chrono::steady_clock::now();
+    arrivals = 0;
+    std::string last;
+    for (int request = 0; request < 20; ++request) {
+        last = sendRequest(m_front, "GET /s/1");
+    }
+    const double elapsed = Core::toSeconds(std::chrono::steady_clock::now() - statedAt);
+    EXPECT_LE(arrivals, 1.0 + perSecond * elapsed);
+    EXPECT_TRUE(last.starts_with("HTTP/1.1 503")) << last;
+    EXPECT_NE(last.find("Retry-After: 0."), std::string::npos) << last;
+    EXPECT_NE(sendRequest(m_control, "GET /metrics").find("ragwortcrank_limited_replicas 1"), std::string::npos);
+
+    const auto isServedAgain = [this]() {
+        bool served = false;
+        return runUntil([&]() {
+            served = served || sendRequest(m_front, "GET /s/1").starts_with("HTTP/1.1 200");
+            return served;
+        });
+    };
+    limit = "Server-Limit: many\r\n";
+    ASSERT_TRUE(isServedAgain());
+    EXPECT_TRUE(sendRequest(m_front, "GET /s/1").starts_with("HTTP/1.1 503")) << "an unreadable limit changes nothing";
+    limit.clear();
+    ASSERT_TRUE(isServedAgain());
+    for (int request = 0; request < 5; ++request) {
+        EXPECT_TRUE(sendRequest(m_front, "GET /s/1").starts_with("HTTP/1.1 200"));
+    }
+}
+
 /// When a caller disconnects, the daemon closes its connections to replicas, so that they stop working on the query.
 TEST_F(daemon_test, CancelsShardRequestsWhenCallerDisconnects)
 {
