--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -3,7 +3,6 @@
 #include "LibForward/AttemptFailure.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
-#include "LibForward/RequestLimits.h"
 #include "LibForward/RetryAfter.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/SharedLimits.h"
@@ -11,6 +10,7 @@
 #include "LibForward/TrafficConfiguration.h"
 #include "LibFront/ExchangeResult.h"
 #include "LibFront/FrontEnvironment.h"
+#include "LibFront/ReplicaReport.h"
 #include "LibFront/ReplyClass.h"
 #include "LibFront/RetryAfter.h"
 
@@ -120,9 +120,8 @@
 void request_task::handleReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply,
                                Core::time_point now)
 {
-    recordReportedLoad(sent, reply, now);
     const reply_class kind = classifyReply(reply, m_environment.names, m_request.plan.matched->isScatterGather());
-    recordStatedLimit(sent, reply, kind, now);
+    recordReplicaReport(m_environment, sent.replica, reply, kind, now);
     if (kind != reply_class::Success) {
         const Forward::attempt_failure failure = failureOf(kind);
         if (kind == reply_class::Failure && !m_request.finished) {
@@ -176,54 +175,6 @@
                                  m_environment.wallTimeAt(now));
 }
 
-void request_task::recordReportedLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now)
-{
-    const auto load = parseLoad(reply[m_environment.names.load], now);
-    if (load) {
-        Forward::recordLoad(m_environment.forward.replicaTable, sent.replica, *load);
-    }
-}
-
-void request_task::recordStatedLimit(const open_attempt &sent, const reply_message &reply, reply_class kind,
-                                     Core::time_point now)
-{
-    if (kind == reply_class::OtherInstance || kind == reply_class::Malformed) {
-        return;
-    }
-    const bool isStated = reply.count(m_environment.names.requestLimit) > 0;
-    if (!isStated && kind != reply_class::Success) {
-        return; // Only an answer shows that the replica needs no limit any more.
-    }
-    Forward::replica_state &replica = Forward::replicaAt(m_environment.forward.replicaTable, sent.replica);
-    const auto stated = isStated ? parseRequestLimit(reply[m_environment.names.requestLimit]) : std::nullopt;
-    if (isStated && !stated) {
-        m_environment.log.write("replica_limit_unreadable",
-                                {{"replica", replica.registration.id},
-                                 {"text", std::string_view(reply[m_environment.names.requestLimit]).substr(0, 32)}});
-        return;
-    }
-    const Forward::request_limit before = replica.requestLimit.value_or(Forward::request_limit {});
-    if (!Forward::recordRequestLimit(m_environment.forward.replicaTable, replica, stated, now)) {
-        return;
-    }
-    boost::json::object fields {
-        {"replica", replica.registration.id},
-        {"service", replica.registration.service},
-        {"limit", nullptr},
-        {"before", nullptr},
-        {"attempts", before.attempts},
-    };
-    if (stated) {
-        fields["limit"] = *stated;
-        fields["own_share"] = replica.requestLimit->ownRate;
-    }
-    if (before.perSecond > 0.0) {
-        fields["before"] = before.perSecond;
-        fields["stated_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now - before.since).count();
-    }
-    m_environment.log.write("replica_limit", std::move(fields));
-}
-
 void request_task::scheduleWakeup(Core::time_point when)
 {
     if (m_wakeupTimer) {
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -15,7 +15,6 @@
 
 namespace Front
 {
-enum class reply_class;
 struct exchange_result;
 struct front_environment;
 
@@ -49,10 +48,6 @@
     void recordRolloutOutcome(const open_attempt &sent, bool failed, Core::time_point now);
     /// Records that an attempt was cancelled before it was sent.
     void recordWithdrawal(const open_attempt &open, Core::time_point now);
-    void recordReportedLoad(const open_attempt &sent, const reply_message &reply, Core::time_point now);
-    /// Records the request rate limit that a replica states, or that it states none any more, and logs changes.
-    void recordStatedLimit(const open_attempt &sent, const reply_message &reply, reply_class kind,
-                           Core::time_point now);
     void scheduleWakeup(Core::time_point when);
     /// Returns the text of an attempt; nothing if it must be withdrawn.
     [[nodiscard]] std::optional<std::string>
--- a/Tests/LibForward/Fixtures.cpp
+++ b/Tests/LibForward/Fixtures.cpp
@@ -73,4 +73,16 @@
     registration.startedAt = 1;
     return registration;
 }
+
+Membership::member_record memberRecord(std::size_t daemon, std::size_t dataCentres)
+{
+    Membership::member_record record;
+    record.name = "vm-" + std::to_string(daemon);
+    record.incarnation = 1;
+    record.heartbeat = 1;
+    record.callerAddress = record.name + ":80";
+    record.peerAddress = record.name + ":81";
+    record.dataCentre = "dc-" + std::to_string(daemon % dataCentres);
+    return record;
+}
 } // namespace Fixtures
--- a/Tests/LibForward/Fixtures.h
+++ b/Tests/LibForward/Fixtures.h
@@ -3,6 +3,7 @@
 #include "LibForward/ForwardContext.h"
 #include "LibForward/ReplicaRegistration.h"
 #include "LibForward/TrafficConfiguration.h"
+#include "LibMembership/MemberRecord.h"
 
 #include <memory>
 #include <string>
@@ -24,4 +25,7 @@
 
 Forward::replica_registration replicaRegistration(const std::string &id, const std::string &service,
                                                   const std::string &dataCentre);
+
+/// The record of the daemon with the given number, which is in one of the data centres dc-0, dc-1, ... by turns.
+Membership::member_record memberRecord(std::size_t daemon, std::size_t dataCentres);
 } // namespace Fixtures
--- a/Tests/LibForward/LimitedFleet.cpp
+++ b/Tests/LibForward/LimitedFleet.cpp
@@ -44,26 +44,15 @@
     }
 }
 
-Membership::member_record limited_fleet::recordOf(std::size_t daemon) const
-{
-    Membership::member_record record;
-    record.name = "vm-" + std::to_string(daemon);
-    record.incarnation = 1;
-    record.heartbeat = 1;
-    record.callerAddress = record.name + ":80";
-    record.peerAddress = record.name + ":81";
-    record.dataCentre = "dc-" + std::to_string(daemon % m_topology.dataCentres.size());
-    return record;
-}
-
 void limited_fleet::restart(std::size_t daemon)
 {
     m_daemons[daemon] = std::make_unique<simulated_daemon>();
     simulated_daemon &started = *m_daemons[daemon];
-    started.table = Membership::makeTable(recordOf(daemon), {}, m_now);
+    started.table = Membership::makeTable(Fixtures::memberRecord(daemon, m_topology.dataCentres.size()), {}, m_now);
     for (std::size_t other = 0; other < m_daemons.size(); ++other) {
         if (other != daemon) {
-            Membership::mergeRecord(started.table, recordOf(other), m_settings, m_now);
+            Membership::mergeRecord(started.table, Fixtures::memberRecord(other, m_topology.dataCentres.size()),
+                                    m_settings, m_now);
         }
     }
     Forward::replica_table &replicaTable = started.context.replicaTable;
--- a/Tests/LibForward/LimitedFleet.h
+++ b/Tests/LibForward/LimitedFleet.h
@@ -77,7 +77,6 @@
         }
     };
 
-    [[nodiscard]] Membership::member_record recordOf(std::size_t daemon) const;
     void runRounds();
     void runRound(std::size_t daemon);
     void startRequest(std::size_t daemon);
--- a/Tests/LibForward/TestSharedLimits.cpp
+++ b/Tests/LibForward/TestSharedLimits.cpp
@@ -1,3 +1,5 @@
+#include "Fixtures.h"
+
 #include "LibForward/AttemptKind.h"
 #include "LibForward/ReplicaTable.h"
 #include "LibForward/RetryBudget.h"
@@ -145,14 +147,7 @@
 private:
     Membership::member_record recordOf(std::size_t index) const
     {
-        Membership::member_record record;
-        record.name = "vm-" + std::to_string(index);
-        record.incarnation = 1;
-        record.heartbeat = 1;
-        record.callerAddress = record.name + ":80";
-        record.peerAddress = record.name + ":81";
-        record.dataCentre = "dc-" + std::to_string(index % m_topology.dataCentres.size());
-        return record;
+        return Fixtures::memberRecord(index, m_topology.dataCentres.size());
     }
 
     bool isActive(const fleet_daemon &daemon) const
