LibForward: Keep request limits of any size within range

What callers saw: nothing yet; a replica that states a limit beyond 2^64 requests a second would have got almost nothing. Cause: the number of daemons that share a limit was converted from the limit before it was bounded; the conversion overflows. Evidence: request_limits_test.LimitBeyondAnyRateAllowsEveryRequest failed on the code before (no share), found by reading the diff. Change: the value is bounded by the number of daemons first. The least rate of questions is a named constant.

--- a/Libraries/LibForward/RequestLimits.cpp
+++ b/Libraries/LibForward/RequestLimits.cpp
@@ -22,6 +22,7 @@
 static constexpr Core::real_seconds maximumRetention = 30s;
 /// Fraction of a limit that such requests may use.
 static constexpr double probeFraction = 0.1;
+static constexpr double minimumProbeRate = 0.001; ///< In requests per second; for limits near 0.
 
 namespace
 {
@@ -34,8 +35,8 @@
 static request_share shareInGroup(const std::vector<std::uint64_t> &group, std::uint64_t ownHash, std::uint64_t key,
                                   double groupRate)
 {
-    const auto holders = std::clamp<std::size_t>(static_cast<std::size_t>(groupRate / minimumShare), 1,
-                                                 std::max<std::size_t>(group.size(), 1));
+    const auto members = static_cast<double>(std::max<std::size_t>(group.size(), 1));
+    const auto holders = static_cast<std::size_t>(std::clamp(groupRate / minimumShare, 1.0, members));
     const std::uint64_t ownWeight = Membership::rendezvousWeight(key, ownHash);
     const auto preceding = std::count_if(group.begin(), group.end(), [&](std::uint64_t other) {
         return other != ownHash && Membership::rendezvousWeight(key, other) > ownWeight;
@@ -71,7 +72,7 @@
 static Core::duration retentionOf(const replica_table &replicaTable, const replica_state &replica, double perSecond,
                                   std::size_t daemonsWithout)
 {
-    const double probeRate = std::max(perSecond * probeFraction, 1e-3);
+    const double probeRate = std::max(perSecond * probeFraction, minimumProbeRate);
     const auto wanted = Core::real_seconds(static_cast<double>(daemonsWithout) / probeRate);
     const std::uint64_t key = Membership::hashName(replica.registration.id);
     constexpr std::uint64_t steps = 1024;
--- a/Tests/LibForward/TestRequestLimits.cpp
+++ b/Tests/LibForward/TestRequestLimits.cpp
@@ -309,6 +309,20 @@
     EXPECT_TRUE(isAllowed());
 }
 
+/// Guards against a conversion that overflows and leaves no share.
+TEST_F(request_limits_test, LimitBeyondAnyRateAllowsEveryRequest)
+{
+    for (int other = 1; other < 40; ++other) {
+        table().limitSharers.byRegion["ra"].push_back(Membership::hashName("vm-" + std::to_string(other)));
+    }
+    EXPECT_TRUE(state(1e30));
+    m_now += 10ms;
+    for (int request = 0; request < 1000; ++request) {
+        EXPECT_TRUE(isAllowed());
+        Forward::recordSent(table(), m_key, m_now);
+    }
+}
+
 TEST_F(request_limits_test, RestartedReplicaHasNoLimit)
 {
     EXPECT_TRUE(state(0.0));
