LibForward: Leave replicas alone whose address belongs to another instance

What callers saw: queries waited for a shard whose replicas were gone. Cause: after a 421 a replica was avoided for 2 s only where another one could be chosen; with all replicas of a shard gone, every query asked them again. Ruled out: restarts, the division of the slack (no change of the fleet in these seconds), retries that are given back though they arrived. Change: after a 421 the replica is not chosen for 10 s, or until it registers a new start: the instance has lost the address for good. A wrong 421 costs 10 s of one replica. Test that failed before: choose_replica_test.NeverChoosesReplicaWhoseAddressBelongsToAnotherInstance.

--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -66,7 +66,7 @@
     if (filter.rollout != nullptr && sideOf(*filter.rollout, replica) != filter.side) {
         return false;
     }
-    return !replica.removed && !replica.registration.draining
+    return !replica.removed && !replica.registration.draining && now >= replica.displacedUntil
         && !replicaTable.evacuatedDataCentres.contains(replica.registration.dataCentre)
         && isRegionAllowed(replicaTable, replica, filter.allowedRegions)
         && isWithinColdLimit(replicaTable, replica, filter.policy, now)
--- a/Libraries/LibForward/ReplicaEvents.cpp
+++ b/Libraries/LibForward/ReplicaEvents.cpp
@@ -19,6 +19,8 @@
 static constexpr Core::duration initialAvoidance = std::chrono::milliseconds(200);
 /// Bounds the delay until a recovered replica is used.
 static constexpr Core::duration maximumAvoidance = std::chrono::seconds(2);
+/// An instance that has lost its address does not return to it. Its registration lapses within this time.
+static constexpr Core::duration displacedTime = std::chrono::seconds(10);
 /// A queue drains within a few service times.
 static constexpr Core::duration overloadAvoidance = std::chrono::milliseconds(30);
 static constexpr unsigned maximumDoublings = 4;
@@ -107,7 +109,7 @@
     replica.avoidUntil = now + std::min(avoidance, maximumAvoidance);
     ++replica.consecutiveFailures;
     if (failure == attempt_failure::OtherInstance) {
-        replica.avoidUntil = now + maximumAvoidance;
+        replica.displacedUntil = now + displacedTime;
     }
 }
 
--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -29,6 +29,7 @@
     Core::time_point errorRateAt;
     double refusalRate = 0.0; ///< Smoothed fraction of recent requests that were refused; decays with time.
     Core::time_point refusalRateAt;
+    Core::time_point displacedUntil; ///< Until then it is not chosen: another instance has answered at its address.
     Core::time_point avoidUntil; ///< Until then the replica is chosen only if no other one is eligible.
     Core::time_point coldWindowStart; ///< Start of the second in which cold requests are counted.
     unsigned coldRequestsSent = 0; ///< Requests sent to the cold replica in that second.
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -85,6 +85,28 @@
     EXPECT_EQ(choose(), "none");
 }
 
+/// All replicas of a service have ended and their addresses belong to another service, which gets every further
+/// attempt.
+TEST_F(choose_replica_test, NeverChoosesReplicaWhoseAddressBelongsToAnotherInstance)
+{
+    for (std::size_t replica = 0; replica < 3; ++replica) {
+        Forward::recordSent(m_context.replicaTable, keyOf(replica), m_now);
+        Forward::recordFailure(m_context.replicaTable, keyOf(replica), Forward::attempt_failure::OtherInstance, m_now,
+                               m_now);
+    }
+    EXPECT_EQ(choose(), "none");
+    m_now += 9s;
+    Forward::applyRegistration(m_context.replicaTable, Fixtures::replicaRegistration("r-b", "s0", "b"), m_now);
+    EXPECT_EQ(choose(), "none") << "the registration of the ended instance is written again";
+    Forward::replica_registration restarted = Fixtures::replicaRegistration("r-b", "s0", "b");
+    restarted.startedAt = 2;
+    Forward::applyRegistration(m_context.replicaTable, restarted, m_now);
+    EXPECT_EQ(choose(), "r-b");
+    Forward::removeReplica(m_context.replicaTable, "r-b");
+    m_now += 2s;
+    EXPECT_EQ(choose(), "r-a") << "tried again, should the answer have been wrong";
+}
+
 /// An expired registration is weak evidence of a failure. Other replicas are preferred, but if all registrations have
 /// expired, all replicas stay in use.
 TEST_F(choose_replica_test, ChoosesMissingReplicaOnlyWhenNoOtherIsRegistered)
