--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -85,8 +85,7 @@
     EXPECT_EQ(choose(), "none");
 }
 
-/// All replicas of a service have ended and their addresses belong to another service, which gets every further
-/// attempt.
+/// Guards against sending a service's requests to another one that has got the addresses of all its ended replicas.
 TEST_F(choose_replica_test, NeverChoosesReplicaWhoseAddressBelongsToAnotherInstance)
 {
     for (std::size_t replica = 0; replica < 3; ++replica) {
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -89,8 +89,7 @@
     EXPECT_EQ(fail(retried.sends[0].attempt, attempt_failure::ConnectionLost).finished, request_outcome::Failed);
 }
 
-/// Two of ten shards have no replica, and the route needs nine. Until now the eight others were asked in vain, and the
-/// request ended as failed.
+/// Guards against asking eight shards in vain, and failing afterwards, when the route needs nine of ten.
 TEST_F(request_events_test, RefusesAtOnceWithoutSendingWhenTooFewShardsHaveAReplica)
 {
     addReplicas(8);
