LibFront, LibForward, platform: Record and log what replicas ask for in their answers

Change: both are decoded and recorded for the replica; events replica_shutting_down, replica_quiet and replica_retry_after_unreadable, gauges replicas_shutting_down and quiet_replicas. Routing does not use them yet.

--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -18,6 +18,8 @@
     locality distance = locality::OtherRegion;
     bool missing = false; ///< The registration is missing; the removal is only suspected so far.
     bool removed = false; ///< Removed; kept while requests are outstanding so that indices stay valid.
+    bool shuttingDown = false; ///< An answer has said so, whatever the registration says.
+    Core::time_point quietUntil; ///< The replica has asked this daemon to send nothing until then.
     Core::time_point coldUntil;
     boost::container::small_vector<Core::time_point, 4> outstanding; ///< Send times of pending requests, oldest first.
     Core::real_seconds smoothedLatency {}; ///< Exponentially weighted mean of latencies; 0: no response yet.
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -48,15 +48,15 @@
     }
 }
 
-static std::size_t countLimitedReplicas(const Forward::replica_table &replicaTable)
+template<typename Predicate> static double countReplicas(const Forward::replica_table &replicaTable, Predicate matches)
 {
     std::size_t count = 0;
     for (const auto &service : replicaTable.services) {
         for (const Forward::replica_state &replica : service->replicas) {
-            count += !replica.removed && replica.requestLimit ? 1 : 0;
+            count += !replica.removed && matches(replica) ? 1 : 0;
         }
     }
-    return count;
+    return static_cast<double>(count);
 }
 
 std::string metricsText(const front_environment &environment)
@@ -83,7 +83,16 @@
     addGauge(text, "daemons", "Live daemons that share limits, this one included.",
              static_cast<double>(environment.forward.replicaTable.daemons));
     addGauge(text, "limited_replicas", "Replicas that state a limit on their request rate.",
-             static_cast<double>(countLimitedReplicas(environment.forward.replicaTable)));
+             countReplicas(environment.forward.replicaTable,
+                           [](const Forward::replica_state &replica) { return replica.requestLimit.has_value(); }));
+    addGauge(text, "replicas_shutting_down", "Registered replicas whose answers say that they shut down.",
+             countReplicas(environment.forward.replicaTable,
+                           [](const Forward::replica_state &replica) { return replica.shuttingDown; }));
+    addGauge(text, "quiet_replicas", "Replicas that have asked this daemon to send nothing for a while.",
+             countReplicas(environment.forward.replicaTable,
+                           [now = std::chrono::steady_clock::now()](const Forward::replica_state &replica) {
+                               return now < replica.quietUntil;
+                           }));
     addHistogram(text, "request_seconds", "From a request's arrival to its answer.", counters.answerTimes);
     addHistogram(text, "attempt_seconds", "From sending to a replica to its good answer.", counters.attemptTimes);
     return text;
--- a/Libraries/LibFront/ReplicaReport.cpp
+++ b/Libraries/LibFront/ReplicaReport.cpp
@@ -2,6 +2,7 @@
 
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/RequestLimits.h"
 #include "LibFront/FrontEnvironment.h"
 #include "LibFront/ReplyClass.h"
@@ -51,6 +52,53 @@
     }
 }
 
+static void recordShutdown(front_environment &environment, Forward::replica_state &replica, const reply_message &reply)
+{
+    if (announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replica)) {
+        environment.log.write("replica_shutting_down",
+                              {{"replica", replica.registration.id},
+                               {"service", replica.registration.service},
+                               {"registered",
+                                replica.missing                     ? "missing"
+                                    : replica.registration.draining ? "draining"
+                                                                    : "ready"}});
+    }
+}
+
+/// Returns whether the response says that its replica takes no request now.
+static bool isRefusalForNow(const reply_message &reply)
+{
+    return reply.result() == boost::beast::http::status::service_unavailable
+        || reply.result() == boost::beast::http::status::too_many_requests;
+}
+
+static void recordQuietTime(front_environment &environment, Forward::replica_state &replica, const reply_message &reply,
+                            Core::time_point now)
+{
+    if (!isRefusalForNow(reply)) {
+        return;
+    }
+    const auto stated = reply.equal_range(boost::beast::http::field::retry_after);
+    for (auto field = stated.first; field != stated.second; ++field) {
+        const std::optional<Core::duration> period = parseRetryAfter(field->value());
+        if (!period) {
+            environment.log.write(
+                "replica_retry_after_unreadable",
+                {{"replica", replica.registration.id}, {"text", field->value().substr(0, maximumLoggedText)}});
+            continue;
+        }
+        // Refusals to requests that were sent together extend the time a little; one line for all of them is enough.
+        const bool wasQuiet = now < replica.quietUntil;
+        if (Forward::recordRetryAfter(environment.forward.replicaTable, replica, *period, now) && !wasQuiet) {
+            environment.log.write("replica_quiet",
+                                  {{"replica", replica.registration.id},
+                                   {"service", replica.registration.service},
+                                   {"stated_ms", Core::toMilliseconds(*period)},
+                                   {"until_ms", Core::toMilliseconds(replica.quietUntil - now)}});
+        }
+    }
+}
+
 void recordReplicaReport(front_environment &environment, const Forward::replica_key &key, const reply_message &reply,
                          reply_class kind, Core::time_point now)
 {
@@ -60,6 +108,9 @@
     if (const auto load = parseLoad(reply[environment.names.load], now)) {
         Forward::recordLoad(environment.forward.replicaTable, key, *load);
     }
-    recordStatedLimit(environment, Forward::replicaAt(environment.forward.replicaTable, key), reply, kind, now);
+    Forward::replica_state &replica = Forward::replicaAt(environment.forward.replicaTable, key);
+    recordStatedLimit(environment, replica, reply, kind, now);
+    recordShutdown(environment, replica, reply);
+    recordQuietTime(environment, replica, reply, now);
 }
 } // namespace Front
--- a/Libraries/LibFront/ReplyClass.cpp
+++ b/Libraries/LibFront/ReplyClass.cpp
@@ -3,6 +3,7 @@
 #include "LibFront/ForwardedRequest.h"
 #include "LibFront/HeaderNames.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -67,13 +68,32 @@
     return Forward::load_report {numbers[0], numbers[1], numbers[2], now};
 }
 
-std::optional<double> parseRequestLimit(std::string_view text)
+/// Parses a finite decimal number, 0 or more.
+static std::optional<double> parseDecimal(std::string_view text)
 {
-    double perSecond = 0.0;
+    double number = 0.0;
     const char *const end = text.data() + text.size();
-    const auto [next, failure] = std::from_chars(text.data(), end, perSecond, std::chars_format::fixed);
-    const bool isRate = failure == std::errc() && next == end && std::isfinite(perSecond) && perSecond >= 0.0;
-    return isRate ? std::optional(perSecond) : std::nullopt;
+    const auto [next, failure] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool isValid = failure == std::errc() && next == end && std::isfinite(number) && number >= 0.0;
+    return isValid ? std::optional(number) : std::nullopt;
+}
+
+std::optional<double> parseRequestLimit(std::string_view text)
+{
+    return parseDecimal(text);
+}
+
+bool announcesShutdown(const reply_message &reply, const header_names &names)
+{
+    const auto notices = reply.equal_range(names.shuttingDown);
+    return std::any_of(notices.first, notices.second, [](const auto &notice) { return notice.value() != "0"; });
+}
+
+std::optional<Core::duration> parseRetryAfter(std::string_view text)
+{
+    constexpr double maximumSeconds = 1e9; // Keeps the conversion within the range of the type.
+    const std::optional<double> seconds = parseDecimal(text);
+    return seconds ? std::optional(Core::fromSeconds(std::min(*seconds, maximumSeconds))) : std::nullopt;
 }
 
 answer makeForwardedAnswer(reply_message &&reply)
--- a/Libraries/LibFront/ReplyClass.h
+++ b/Libraries/LibFront/ReplyClass.h
@@ -33,6 +33,13 @@
 /// Parses a request rate in requests per second: a decimal number, 0 or more. Returns nothing if the text is malformed.
 [[nodiscard]] std::optional<double> parseRequestLimit(std::string_view text);
 
+/// Returns whether the response says that its replica shuts down.
+[[nodiscard]] bool announcesShutdown(const reply_message &reply, const header_names &names);
+
+/// Parses a time in seconds: a decimal number, 0 or more. Returns nothing if the text is malformed. Dates are not
+/// accepted, since wall clocks differ.
+[[nodiscard]] std::optional<Core::duration> parseRetryAfter(std::string_view text);
+
 /// Converts a replica's response to the response for the caller.
 [[nodiscard]] answer makeForwardedAnswer(reply_message &&reply);
 } // namespace Front
