LibForward, LibFront: Send nothing to replicas that shut down or want no requests

What callers saw: nothing; a replica whose answers say that it shuts down got as many requests as before while its registration said ready, or was missing, and one that refused with Retry-After was asked again after 30 ms. Cause: both are fields of the answers that no daemon read; the choice of a replica knew registrations, load and failures only. Change: a replica that has said that it shuts down is not chosen until it starts again, one that stated a time not before its end and a delay of up to 0.5 s that differs between daemons. Attempts that were chosen before and wait for a connection are withdrawn. A replica whose registration is missing and that closes its connection has left; it is not chosen unless it registers again. When all replicas of a shard are ruled out the request is refused at once, with the rest of the time as Retry-After. Why it works: first attempts, retries, hedges and parts of gathers all pass acceptsRequests, when they are chosen and again when they are written to the connection; the daemon sends no health checks to replicas.

--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -2,6 +2,7 @@
 
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ExpectedLatency.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/ReplicaTable.h"
 #include "LibForward/RequestLimits.h"
 #include "LibForward/RolloutEvents.h"
@@ -66,8 +67,7 @@
     if (filter.rollout != nullptr && sideOf(*filter.rollout, replica) != filter.side) {
         return false;
     }
-    return !replica.removed && !replica.registration.draining && now >= replica.displacedUntil
-        && !replicaTable.evacuatedDataCentres.contains(replica.registration.dataCentre)
+    return acceptsRequests(replica, now) && !replicaTable.evacuatedDataCentres.contains(replica.registration.dataCentre)
         && isRegionAllowed(replicaTable, replica, filter.allowedRegions)
         && isWithinColdLimit(replicaTable, replica, filter.policy, now)
         && isWithinRequestLimit(replica, filter.kind, now);
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -71,6 +71,7 @@
             replica.registration = registration;
             replica.coldUntil = now + registration.remainingSlowStart;
             replica.missing = false;
+            replica.leftWithoutNotice = false;
             return std::nullopt;
         }
         replica.removed = true;
--- a/Libraries/LibForward/ReplicaNotices.cpp
+++ b/Libraries/LibForward/ReplicaNotices.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/ReplicaNotices.h"
 
 #include "LibForward/ReplicaTable.h"
+#include "LibForward/RequestState.h"
 #include "LibMembership/RendezvousWeight.h"
 
 #include <algorithm>
@@ -21,6 +22,11 @@
     return !std::exchange(replica.shuttingDown, true);
 }
 
+bool recordClosing(replica_state &replica)
+{
+    return replica.missing && !std::exchange(replica.leftWithoutNotice, true);
+}
+
 bool recordRetryAfter(const replica_table &replicaTable, replica_state &replica, Core::duration period,
                       Core::time_point now)
 {
@@ -38,4 +44,49 @@
     replica.quietUntil = std::max(replica.quietUntil, until);
     return isExtended;
 }
+
+/// Returns from when on the replica takes requests; nothing if it takes none any more.
+static std::optional<Core::time_point> acceptsFrom(const replica_state &replica)
+{
+    const bool isLeaving =
+        replica.removed || replica.registration.draining || replica.shuttingDown || replica.leftWithoutNotice;
+    return isLeaving ? std::nullopt : std::optional(std::max(replica.quietUntil, replica.displacedUntil));
+}
+
+bool acceptsRequests(const replica_state &replica, Core::time_point time)
+{
+    const std::optional<Core::time_point> from = acceptsFrom(replica);
+    return from && *from <= time;
+}
+
+bool hasAcceptingReplica(const service_state &service, Core::time_point time)
+{
+    return std::any_of(service.replicas.begin(), service.replicas.end(),
+                       [time](const replica_state &replica) { return acceptsRequests(replica, time); });
+}
+
+std::optional<Core::time_point> quietUntil(const request_state &request, const replica_table &replicaTable,
+                                           Core::time_point now)
+{
+    std::vector<Core::time_point> returns;
+    for (const std::size_t service : request.plan.services) {
+        std::optional<Core::time_point> earliest;
+        for (const replica_state &replica : replicaTable.services[service]->replicas) {
+            const std::optional<Core::time_point> from = acceptsFrom(replica);
+            if (from && (!earliest || *from < *earliest)) {
+                earliest = from;
+            }
+        }
+        if (earliest) {
+            returns.push_back(*earliest);
+        }
+    }
+    const std::size_t required = std::max<std::size_t>(request.plan.requiredSubrequests, 1);
+    if (returns.size() < required) {
+        return std::nullopt;
+    }
+    std::sort(returns.begin(), returns.end());
+    const Core::time_point enough = returns[required - 1];
+    return enough > now ? std::optional(enough) : std::nullopt;
+}
 } // namespace Forward
--- a/Libraries/LibForward/ReplicaNotices.h
+++ b/Libraries/LibForward/ReplicaNotices.h
@@ -2,18 +2,37 @@
 
 #include "LibCore/Time.h"
 
+#include <optional>
+
 /// What a replica's answers ask of this daemon: to send nothing more, since the replica shuts down, or to send nothing
 /// for a while. Both end with the replica's start: a replica that registers a new one is asked again.
 namespace Forward
 {
 struct replica_state;
 struct replica_table;
+struct request_state;
+struct service_state;
 
 /// Records that an answer of the replica says that it shuts down. Returns whether that is new.
 [[nodiscard]] bool recordShutdownNotice(replica_state &replica);
 
+/// Records that the replica closes a connection after its answer. Replicas that shut down do so, and others only now
+/// and then; so this shows that one whose registration is missing has left. Returns whether that is new.
+[[nodiscard]] bool recordClosing(replica_state &replica);
+
 /// Records that a refusal of the replica asks this daemon to send nothing for `period`. Adds a delay that differs
 /// between the daemons, so that they do not all return at once. Returns whether the time has been extended.
 [[nodiscard]] bool recordRetryAfter(const replica_table &replicaTable, replica_state &replica, Core::duration period,
                                     Core::time_point now);
+
+/// Whether the replica takes requests from this daemon at `time`, as far as is known now.
+[[nodiscard]] bool acceptsRequests(const replica_state &replica, Core::time_point time);
+
+/// Whether any replica of the service does.
+[[nodiscard]] bool hasAcceptingReplica(const service_state &service, Core::time_point time);
+
+/// Returns from when on as many of the services as the request requires have a replica that takes requests. Returns
+/// nothing if that is so already, or if it does not depend on the time.
+[[nodiscard]] std::optional<Core::time_point> quietUntil(const request_state &request,
+                                                         const replica_table &replicaTable, Core::time_point now);
 } // namespace Forward
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "LibForward/HedgeDelay.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/RequestState.h"
 #include "LibForward/RetryEvents.h"
 #include "LibForward/RolloutEvents.h"
@@ -283,7 +284,12 @@
     if (now < request.plan.callerDeadline && mayRetry(request, *subrequest, failure)) {
         const bool hasReplica = retry(request, index, context, effects, now);
         if (!hasReplica && subrequest->refusals > 0 && subrequest->running.empty()) {
-            subrequest->retryAt = now + refusalDelay(subrequest->refusals, context.random);
+            const Core::time_point retryAt = now + refusalDelay(subrequest->refusals, context.random);
+            const service_state &service = *context.replicaTable.services[request.plan.services[index]];
+            // Replicas that want no request until later cannot be asked again in time.
+            if (hasAcceptingReplica(service, retryAt)) {
+                subrequest->retryAt = retryAt;
+            }
         }
     }
     if (subrequest->running.empty() && !subrequest->retryAt) {
@@ -356,9 +362,9 @@
                                                             Core::time_point now)
 {
     const replica_state &replica = replicaTable.services[key.service]->replicas[key.replica];
-    const bool isSameReplica = !replica.removed && replica.registration.id == replicaId;
+    const bool mayStillBeSent = acceptsRequests(replica, now) && replica.registration.id == replicaId;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
-    if (request.finished || !isSameReplica || left < std::chrono::milliseconds(1)) {
+    if (request.finished || !mayStillBeSent || left < std::chrono::milliseconds(1)) {
         return std::nullopt;
     }
     return left;
--- a/Libraries/LibForward/RequestEvents.h
+++ b/Libraries/LibForward/RequestEvents.h
@@ -34,7 +34,8 @@
 [[nodiscard]] request_effects onTimer(request_state &request, forward_context &context, Core::time_point now);
 
 /// Returns the time that an attempt has left when a connection becomes available for it. Returns nothing if it must be
-/// withdrawn: the request has ended, the replica with `replicaId` is gone, or less than a millisecond is left.
+/// withdrawn: the request has ended, the replica with `replicaId` is gone or takes no requests any more, or less than a
+/// millisecond is left.
 [[nodiscard]] std::optional<std::chrono::milliseconds>
 timeLeftForAttempt(const request_state &request, const replica_table &replicaTable, const replica_key &key,
                    std::string_view replicaId, Core::time_point deadline, Core::time_point now);
--- a/Libraries/LibForward/RetryAfter.cpp
+++ b/Libraries/LibForward/RetryAfter.cpp
@@ -1,6 +1,8 @@
 #include "LibForward/RetryAfter.h"
 
+#include "LibForward/ForwardContext.h"
 #include "LibForward/RefusalCause.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/RequestState.h"
 
 #include <algorithm>
@@ -41,6 +43,17 @@
     return request.subrequests.empty() || lacksCapacity ? refusal_cause::Overload : refusal_cause::Unavailable;
 }
 
+Core::duration retryAfterFor(const request_state &request, forward_context &context, Core::time_point now)
+{
+    if (const std::optional<Core::time_point> until = quietUntil(request, context.replicaTable, now)) {
+        const Core::duration left = *until - now;
+        const Core::duration longestSpread = std::clamp<Core::duration>(left / 10, 50ms, 1s);
+        std::uniform_int_distribution<Core::duration::rep> spread(0, longestSpread.count());
+        return left + Core::duration(spread(context.random));
+    }
+    return randomRetryAfter(refusalCauseOf(request), context.random);
+}
+
 Core::duration randomRetryAfter(refusal_cause cause, Core::random_engine &random)
 {
     const delay_range range = delayRange(cause);
--- a/Libraries/LibFront/FrontHandler.cpp
+++ b/Libraries/LibFront/FrontHandler.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/MakePlan.h"
 #include "LibForward/RefusalCause.h"
 #include "LibForward/RequestPlan.h"
+#include "LibForward/RetryAfter.h"
 #include "LibForward/RouteTable.h"
 #include "LibForward/TrafficConfiguration.h"
 #include "LibFront/FrontEnvironment.h"
@@ -34,8 +35,9 @@
     const Core::time_point now = std::chrono::steady_clock::now();
     if (!environment.configuration) {
         answer refusal = errorAnswer(503, "no configuration is known yet; the request has not run");
-        refusal.headers.emplace_back("Retry-After",
-                                     retryAfterText(Forward::refusal_cause::Starting, environment.forward.random));
+        const Core::duration delay =
+            Forward::randomRetryAfter(Forward::refusal_cause::Starting, environment.forward.random);
+        refusal.headers.emplace_back("Retry-After", retryAfterText(delay));
         reply(std::move(refusal));
         return {};
     }
--- a/Libraries/LibFront/ReplicaReport.cpp
+++ b/Libraries/LibFront/ReplicaReport.cpp
@@ -7,6 +7,8 @@
 #include "LibFront/FrontEnvironment.h"
 #include "LibFront/ReplyClass.h"
 
+#include <boost/beast/http/rfc7230.hpp>
+
 namespace Front
 {
 static constexpr std::size_t maximumLoggedText = 32; ///< Characters of a field that cannot be read.
@@ -52,12 +54,20 @@
     }
 }
 
+static bool closesConnection(const reply_message &reply)
+{
+    return boost::beast::http::token_list(reply[boost::beast::http::field::connection]).exists("close");
+}
+
 static void recordShutdown(front_environment &environment, Forward::replica_state &replica, const reply_message &reply)
 {
-    if (announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replica)) {
+    const bool isStated = announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replica);
+    const bool isInferred = closesConnection(reply) && Forward::recordClosing(replica);
+    if (isStated || isInferred) {
         environment.log.write("replica_shutting_down",
                               {{"replica", replica.registration.id},
                                {"service", replica.registration.service},
+                               {"stated", isStated},
                                {"registered",
                                 replica.missing                     ? "missing"
                                     : replica.registration.draining ? "draining"
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/AttemptFailure.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/RetryAfter.h"
 #include "LibForward/RolloutEvents.h"
 #include "LibForward/SharedLimits.h"
@@ -290,8 +291,9 @@
         return makeForwardedAnswer(std::move(*m_singleReply));
     case Forward::request_outcome::NotRun: {
         answer refusal = errorAnswer(503, "no replica can take the request now; it has not run");
-        refusal.headers.emplace_back("Retry-After",
-                                     retryAfterText(Forward::refusalCauseOf(m_request), m_environment.forward.random));
+        const Core::duration delay =
+            Forward::retryAfterFor(m_request, m_environment.forward, std::chrono::steady_clock::now());
+        refusal.headers.emplace_back("Retry-After", retryAfterText(delay));
         return refusal;
     }
     case Forward::request_outcome::Failed:
@@ -359,6 +361,9 @@
         if (!limitedServices.empty()) {
             fields["limited"] = std::move(limitedServices);
         }
+        if (const auto until = Forward::quietUntil(m_request, m_environment.forward.replicaTable, now)) {
+            fields["quiet_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*until - now).count();
+        }
     }
     m_environment.log.write("request", std::move(fields));
 }
--- a/Libraries/LibFront/RetryAfter.cpp
+++ b/Libraries/LibFront/RetryAfter.cpp
@@ -1,15 +1,13 @@
 #include "LibFront/RetryAfter.h"
 
-#include "LibForward/RetryAfter.h"
-
 #include <cstdio>
 
 namespace Front
 {
-std::string retryAfterText(Forward::refusal_cause cause, Core::random_engine &random)
+std::string retryAfterText(Core::duration delay)
 {
     char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", Core::toSeconds(Forward::randomRetryAfter(cause, random)));
+    std::snprintf(text, sizeof(text), "%.3f", Core::toSeconds(delay));
     return text;
 }
 } // namespace Front
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -5,10 +5,13 @@
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibMembership/RendezvousWeight.h"
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace std::chrono_literals;
 
 namespace
@@ -211,3 +214,61 @@
     EXPECT_EQ(choose(), "r-a");
     EXPECT_EQ(Forward::registeredReplicaIds(m_context.replicaTable).size(), 3U);
 }
+
+/// Guards against requests to a replica whose answers say that it shuts down, until it has started again.
+TEST_F(choose_replica_test, NeverChoosesReplicaThatSaysItShutsDown)
+{
+    Forward::replica_state &nearest = m_context.replicaTable.services[0]->replicas[0];
+    EXPECT_TRUE(Forward::recordShutdownNotice(nearest));
+    EXPECT_FALSE(Forward::recordShutdownNotice(nearest));
+    EXPECT_NE(choose(), "r-a");
+    Forward::replica_registration again = nearest.registration;
+    Forward::applyRegistration(m_context.replicaTable, again, m_now);
+    EXPECT_NE(choose(), "r-a") << "the same start still shuts down";
+    ++again.startedAt;
+    Forward::applyRegistration(m_context.replicaTable, again, m_now);
+    EXPECT_EQ(choose(), "r-a");
+}
+
+/// Guards against requests to a replica that left without a notice: its registration is missing, and it closes its
+/// connections. One whose registration lapsed by mistake is used again once it is back.
+TEST_F(choose_replica_test, NeverChoosesMissingReplicaThatClosesItsConnections)
+{
+    Forward::replica_state &nearest = m_context.replicaTable.services[0]->replicas[0];
+    EXPECT_FALSE(Forward::recordClosing(nearest)) << "registered replicas close connections now and then";
+    EXPECT_EQ(choose(), "r-a");
+    Forward::markMissing(m_context.replicaTable, "r-a");
+    EXPECT_TRUE(Forward::recordClosing(nearest));
+    for (const char *other : {"r-b", "r-c"}) {
+        Forward::removeReplica(m_context.replicaTable, other);
+    }
+    EXPECT_EQ(choose(), "none");
+    Forward::applyRegistration(m_context.replicaTable, nearest.registration, m_now);
+    EXPECT_EQ(choose(), "r-a");
+}
+
+/// Guards against requests to a replica that has stated for how long it wants none, and against all daemons returning
+/// to it in the same moment.
+TEST_F(choose_replica_test, NeverChoosesReplicaThatWantsNoRequests)
+{
+    for (const char *other : {"r-b", "r-c"}) {
+        Forward::removeReplica(m_context.replicaTable, other);
+    }
+    std::set<Core::time_point> returns;
+    for (std::uint64_t daemon = 1; daemon <= 50; ++daemon) {
+        m_context.replicaTable.ownHash = Membership::hashName(std::to_string(daemon));
+        Forward::replica_state replica = m_context.replicaTable.services[0]->replicas[0];
+        EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, replica, 2s, m_now));
+        EXPECT_FALSE(Forward::acceptsRequests(replica, m_now + 1999ms));
+        EXPECT_TRUE(Forward::acceptsRequests(replica, m_now + 2500ms));
+        returns.insert(replica.quietUntil);
+    }
+    EXPECT_GT(returns.size(), 40U);
+    Forward::replica_state &only = m_context.replicaTable.services[0]->replicas[0];
+    EXPECT_FALSE(Forward::recordRetryAfter(m_context.replicaTable, only, 0s, m_now));
+    EXPECT_EQ(choose(), "r-a");
+    EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, only, Core::duration::max(), m_now));
+    EXPECT_EQ(choose(), "none");
+    EXPECT_FALSE(Forward::recordRetryAfter(m_context.replicaTable, only, 1s, m_now))
+        << "a shorter time changes nothing";
+}
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "LibForward/PartialResult.h"
 #include "LibForward/ReplicaEvents.h"
 #include "LibForward/ReplicaList.h"
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/RequestEvents.h"
 #include "LibForward/RequestLimits.h"
 #include "LibForward/RequestState.h"
@@ -370,3 +371,62 @@
         EXPECT_TRUE(m_request.finished);
     }
 }
+
+/// Guards against a request that reaches a replica after it has asked for quiet or said that it shuts down, because it
+/// was chosen before and waited for a connection. Any kind of attempt is withdrawn and goes elsewhere.
+TEST_F(request_events_test, AttemptIsWithdrawnWhenReplicaTakesNoRequestsAnyMore)
+{
+    addReplicas(1);
+    const auto effects = start(Fixtures::scatterGatherConfiguration(1, 0.5), 1s);
+    const Forward::replica_key key = effects.sends.at(0).replica;
+    Forward::replica_state &replica = Forward::replicaAt(m_context.replicaTable, key);
+    const Core::time_point deadline = m_now + 1s;
+    const auto left = [&]() {
+        return Forward::timeLeftForAttempt(m_request, m_context.replicaTable, key, replica.registration.id, deadline,
+                                           m_now);
+    };
+    EXPECT_TRUE(left());
+    EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, replica, 100ms, m_now));
+    EXPECT_FALSE(left());
+    m_now += 200ms;
+    EXPECT_TRUE(left());
+    EXPECT_TRUE(Forward::recordShutdownNotice(replica));
+    EXPECT_FALSE(left());
+    const auto again = fail(effects.sends[0].attempt, Forward::attempt_failure::Withdrawn);
+    ASSERT_EQ(again.sends.size(), 1U);
+    EXPECT_NE(again.sends[0].replica.replica, key.replica);
+}
+
+/// Guards against a request that waits although all replicas of its shards have asked for quiet, and against callers
+/// that return before the replicas do.
+TEST_F(request_events_test, RefusesAtOnceWhenAllReplicasWantNoRequests)
+{
+    addReplicas(2);
+    for (const auto &service : m_context.replicaTable.services) {
+        Core::duration period = 4s;
+        for (Forward::replica_state &replica : service->replicas) {
+            EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, replica, period, m_now));
+            period -= 1s; // The last one is asked again first, after 2 s.
+        }
+    }
+    const auto effects = start(Fixtures::scatterGatherConfiguration(2, 1.0), 1s);
+    EXPECT_TRUE(effects.sends.empty());
+    EXPECT_EQ(effects.finished, Forward::request_outcome::NotRun);
+    const Core::duration retryAfter = Forward::retryAfterFor(m_request, m_context, m_now);
+    EXPECT_GE(retryAfter, 2s);
+    EXPECT_LE(retryAfter, 3s);
+}
+
+/// Guards against a request that asks again, or waits for, replicas that have refused it and want no other for longer.
+TEST_F(request_events_test, EndsAtOnceWhenRefusingReplicasWantNoRequests)
+{
+    addReplicas(1);
+    auto effects = start(Fixtures::scatterGatherConfiguration(1, 1.0), 1s);
+    for (int refusal = 0; refusal < 3; ++refusal) {
+        ASSERT_EQ(effects.sends.size(), 1U);
+        Forward::replica_state &replica = Forward::replicaAt(m_context.replicaTable, effects.sends[0].replica);
+        EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, replica, 1s, m_now));
+        effects = fail(effects.sends[0].attempt, Forward::attempt_failure::NotExecuted);
+    }
+    EXPECT_EQ(effects.finished, Forward::request_outcome::NotRun);
+}
