LibExchange, LibForward, platform: Find a daemon that the store serves sooner, and count doubt from the first news

Cause: two delays add up. When the store turned away all daemons that watch it, 2.1 s passed until another one watched it: the watchers went on as sources for 1.2 s; then they began to watch the store anew and counted as sources before it had answered, so that followers waited for them for another second, while those that replace them had to wait for a search of 0.4 s. And the 2.2 s of doubt about a missing registration began anew at each daemon. Ruled out: requests that wait for a connection (the late ones follow one another until the replica counts as gone); one of the two delays alone (with the first only, replicas would be dropped at 26.2 s, with the second only at 26.7 s; the bound is 27.0 s). Change: a daemon relays updates only while the store answers it, and after a failure of 300 ms not until it has answered again; watchers that are refused follow others after 0.7 s instead of 1.5 s, unless none had the feed shortly before; those that replace them ask the store 200 ms after the first vain search. Entries of the feed carry their age, and the doubt counts from the first daemon that learnt of the removal.

--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -16,8 +16,10 @@
 static constexpr Core::duration maximumFallbackDelay = 1500ms; ///< A lagging daemon may miss a configuration.
 static constexpr Core::duration storeFallbackDuration = 5s; ///< Failures of peers and links usually last a few seconds.
 /// A watcher follows another one when the store has not answered it for longer.
-static constexpr Core::duration maximumStoreOutage = 1500ms;
+static constexpr Core::duration maximumStoreOutage = 700ms;
 static constexpr Core::duration followDuration = 4s;
+/// A watcher that the store refuses, and that found no other daemon with the feed, looks for one again after this time.
+static constexpr Core::duration sourceSearchPause = 1500ms;
 /// Between two complete listings of the store.
 static constexpr Core::duration minimumRefreshInterval = 2s;
 
@@ -46,7 +48,9 @@
         state.watchStoreUntil = now + storeFallbackDuration;
     }
     decision.switchSource = isSourceLagging && lag <= fallbackLag;
-    if (view.isWatchingStore && view.storeUnreachableFor > maximumStoreOutage && canFollow) {
+    // If no other daemon had the feed either, following one again helps only once some daemon knows more.
+    const bool mayFindSource = now >= state.noSourceUntil || lag > sourceSwitchLag;
+    if (view.isWatchingStore && view.storeUnreachableFor > maximumStoreOutage && canFollow && mayFindSource) {
         state.followUntil = now + followDuration;
         state.watchStoreUntil = now;
     }
@@ -66,5 +70,6 @@
 {
     state.watchStoreUntil = std::max(state.watchStoreUntil, now + storeFallbackDuration);
     state.followUntil = now;
+    state.noSourceUntil = now + sourceSearchPause;
 }
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedCodec.cpp
+++ b/Libraries/LibExchange/FeedCodec.cpp
@@ -8,13 +8,22 @@
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace Exchange
 {
 using Wire::listSize;
 using Wire::stringOf;
 using Wire::textOf;
 
-std::string encodeFeed(const std::vector<feed_update> &updates)
+static std::uint32_t ageOf(const feed_entry &entry, Core::time_point now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.learnedAt).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::string encodeFeed(const std::vector<feed_update> &updates, Core::time_point now)
 {
     capnp::MallocMessageBuilder builder;
     auto list = builder.initRoot<Wire::Schema::FeedPage>().initKinds(listSize(updates));
@@ -30,6 +39,7 @@
             entries[place].setRevision(entry.revision);
             entries[place].setDeleted(entry.deleted);
             entries[place].setContent(textOf(entry.content));
+            entries[place].setAgeMilliseconds(ageOf(entry, now));
         }
     }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
@@ -37,7 +47,7 @@
     return {bytes.begin(), bytes.size()};
 }
 
-std::optional<std::vector<feed_update>> decodeFeed(std::string_view bytes)
+std::optional<std::vector<feed_update>> decodeFeed(std::string_view bytes, Core::time_point now)
 {
     const std::optional<word_buffer> words = copyWords(bytes);
     if (!words) {
@@ -47,10 +57,11 @@
         capnp::FlatArrayMessageReader reader(kj::arrayPtr(words->data(), words->size()));
         std::vector<feed_update> updates;
         for (const auto update : reader.getRoot<Wire::Schema::FeedPage>().getKinds()) {
-            feed_update decoded {stringOf(update.getKind()), update.getPosition(), update.getWhole(), {}, {}};
+            feed_update decoded {stringOf(update.getKind()), update.getPosition(), update.getWhole(), {}, {}, now};
             for (const auto entry : update.getEntries()) {
-                decoded.entries.push_back(
-                    {stringOf(entry.getName()), entry.getRevision(), entry.getDeleted(), stringOf(entry.getContent())});
+                decoded.entries.push_back({stringOf(entry.getName()), entry.getRevision(), entry.getDeleted(),
+                                           stringOf(entry.getContent()),
+                                           now - std::chrono::milliseconds(entry.getAgeMilliseconds())});
             }
             updates.push_back(std::move(decoded));
         }
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -72,11 +72,11 @@
     if (!m_noSourceSince) {
         m_noSourceSince = now;
     }
-    const bool asksStore = now - *m_noSourceSince >= plan.storeFallbackDelay;
+    const Core::time_point asksStoreAt = *m_noSourceSince + plan.storeFallbackDelay;
     m_isStartScheduled = true;
-    m_timers.schedule(asksStore ? now : now + sourceSearchInterval, [this, asksStore](Core::time_point due) {
+    m_timers.schedule(std::clamp(asksStoreAt, now, now + sourceSearchInterval), [=, this](Core::time_point due) {
         m_isStartScheduled = false;
-        if (asksStore) {
+        if (due >= asksStoreAt) {
             m_noSourceSince.reset();
             recordNoSource(m_decisionState, due);
         }
@@ -142,18 +142,17 @@
 {
     const Core::time_point now = std::chrono::steady_clock::now();
     if (reachable) {
-        m_storeUnreachableSince.reset();
-    } else if (!m_storeUnreachableSince) {
-        m_storeUnreachableSince = now;
+        recordStoreAnswer(m_storeContact);
+    } else {
+        recordStoreFailure(m_storeContact, now);
+        m_timers.schedule(relayCheckTime(now), [this](Core::time_point due) { updateSourceRole(due); });
     }
     updateSourceRole(now);
 }
 
 void feed_control::updateSourceRole(Core::time_point now)
 {
-    constexpr Core::duration maximumStoreOutage = 1s; // A store that answers again by then has only closed the watches.
-    const bool isUnreachable = m_storeUnreachableSince && now - *m_storeUnreachableSince > maximumStoreOutage;
-    m_server.setSource(m_isWatchingStore && !isUnreachable);
+    m_server.setSource(m_isWatchingStore && canRelayUpdates(m_storeContact, now));
 }
 
 void feed_control::decide(Core::time_point now)
@@ -171,7 +170,7 @@
         m_isComplete ? Membership::newestNumber(table, m_exchange.settings(), now) : m_progressNumber;
     view.isWatchingStore = m_isWatchingStore;
     view.sourceSince = m_follower.sourceSince();
-    view.storeUnreachableFor = m_storeUnreachableSince ? now - *m_storeUnreachableSince : Core::duration {};
+    view.storeUnreachableFor = unreachableFor(m_storeContact, now);
     const feed_decision decision = decideFeed(m_decisionState, view, now);
     updateSourceRole(now);
     if (decision.watchStore && !m_isWatchingStore) {
@@ -195,7 +194,7 @@
 {
     m_log.write("feed", {{"from", "store"}});
     m_isWatchingStore = true;
-    m_storeUnreachableSince.reset();
+    m_storeContact.watchingSince = std::chrono::steady_clock::now();
     m_follower.stop();
     m_hooks.startStoreWatches();
 }
@@ -204,7 +203,6 @@
 {
     m_log.write("feed", {{"from", "peers"}});
     m_isWatchingStore = false;
-    m_storeUnreachableSince.reset();
     m_hooks.stopStoreWatches();
     updateSourceRole(std::chrono::steady_clock::now());
     m_follower.start();
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -4,6 +4,7 @@
 #include "LibExchange/FeedDecisionState.h"
 #include "LibExchange/FeedFollower.h"
 #include "LibExchange/FeedServer.h"
+#include "LibExchange/StoreContact.h"
 
 #include <functional>
 #include <optional>
@@ -61,7 +62,7 @@
     feed_server m_server;
     feed_follower m_follower;
     feed_decision_state m_decisionState;
-    std::optional<Core::time_point> m_storeUnreachableSince;
+    store_contact m_storeContact;
     std::optional<Core::time_point> m_noSourceSince; ///< Since when no source has answered.
     std::uint64_t m_progressNumber = 0; ///< Result of `progressNumber`; announced to peers.
     bool m_isSeed; ///< This daemon is a seed, which new daemons ask first.
--- a/Libraries/LibExchange/FeedEntry.h
+++ b/Libraries/LibExchange/FeedEntry.h
@@ -20,5 +20,7 @@
     std::uint64_t revision = 0; ///< Position of the kind at which the entry changed.
     bool deleted = false;
     std::string content; ///< For a deleted entry: empty, or the result of `encodeSuspectedRemoval`.
+    /// When the first daemon that relayed the entry read it from the store, by this daemon's clock.
+    Core::time_point learnedAt {};
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedEvents.cpp
+++ b/Libraries/LibExchange/FeedEvents.cpp
@@ -69,7 +69,8 @@
         for (const std::string &name : missing) {
             const bool isSuspected = update.suspectedRemovalWait > Core::duration {};
             applyRegistration({name, update.position, true,
-                               isSuspected ? encodeSuspectedRemoval(update.suspectedRemovalWait) : std::string()});
+                               isSuspected ? encodeSuspectedRemoval(update.suspectedRemovalWait) : std::string(),
+                               update.receivedAt});
         }
     }
     state.position = update.position;
@@ -88,7 +89,7 @@
 
 feed_update changesAfter(const feed_state &state, const std::string &kind, std::uint64_t position)
 {
-    feed_update update {kind, state.position, position == 0 || position < state.evictedUpTo, {}, {}};
+    feed_update update {kind, state.position, position == 0 || position < state.evictedUpTo, {}, {}, {}};
     for (const auto &[name, entry] : state.entries) {
         const bool isIncluded = update.isFullList ? !entry.deleted : entry.revision > position;
         if (isIncluded) {
--- a/Libraries/LibExchange/FeedFollower.cpp
+++ b/Libraries/LibExchange/FeedFollower.cpp
@@ -106,7 +106,8 @@
 void feed_follower::onResponse(const std::string &source, Front::exchange_result end)
 {
     const bool isAnswered = end.reply && end.reply->result_int() == 200;
-    const std::optional<std::vector<feed_update>> updates = isAnswered ? decodeFeed(end.reply->body()) : std::nullopt;
+    const std::optional<std::vector<feed_update>> updates =
+        isAnswered ? decodeFeed(end.reply->body(), std::chrono::steady_clock::now()) : std::nullopt;
     if (!updates) {
         m_log.write("feed_source_lost", {{"source", source}, {"status", end.reply ? end.reply->result_int() : 0}});
         m_avoidUntil[source] = std::chrono::steady_clock::now() + sourceRetryDelay;
--- a/Libraries/LibExchange/FeedServer.cpp
+++ b/Libraries/LibExchange/FeedServer.cpp
@@ -128,7 +128,7 @@
     for (const auto &[kind, position] : positions) {
         updates.push_back(changesAfter(m_states.at(kind), kind, position));
     }
-    return encodeFeed(updates);
+    return encodeFeed(updates, std::chrono::steady_clock::now());
 }
 
 void feed_server::answer(waiting_requests::iterator waiting, encoded_changes &encoded)
--- a/Libraries/LibExchange/FeedUpdate.h
+++ b/Libraries/LibExchange/FeedUpdate.h
@@ -17,5 +17,6 @@
     /// How long an object that is missing from a full list is only suspected of removal, because the store had an
     /// outage. Not relayed: each deleted entry carries the wait in its content.
     Core::duration suspectedRemovalWait {};
+    Core::time_point receivedAt {}; ///< When this daemon received the update.
 };
 } // namespace Exchange
--- /dev/null
+++ b/Libraries/LibExchange/StoreContact.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "LibCore/Time.h"
+
+#include <optional>
+
+namespace Exchange
+{
+/// Whether the store answers this daemon's watches.
+struct store_contact {
+    std::optional<Core::time_point> failingSince; ///< Since the first failure after the latest answer.
+    Core::time_point watchingSince; ///< When the daemon began to watch the store this time.
+};
+
+void recordStoreAnswer(store_contact &contact);
+void recordStoreFailure(store_contact &contact, Core::time_point now);
+
+/// Returns for how long the store has failed since the daemon began to watch it this time.
+[[nodiscard]] Core::duration unreachableFor(const store_contact &contact, Core::time_point now);
+
+/// Whether a daemon that watches the store may relay its updates. A store that answers again at once has only closed
+/// the watches. After a longer failure the daemon must hear from the store first: otherwise its followers would wait
+/// for a daemon that knows no more than they do.
+[[nodiscard]] bool canRelayUpdates(const store_contact &contact, Core::time_point now);
+
+/// Returns when `canRelayUpdates` must be checked again after a failure.
+[[nodiscard]] Core::time_point relayCheckTime(Core::time_point failedAt);
+} // namespace Exchange
--- a/Libraries/LibForward/SuspectedRemovals.h
+++ b/Libraries/LibForward/SuspectedRemovals.h
@@ -18,8 +18,9 @@
 /// that the store's reader has detected. An undetected outage looks the same, since a pending watch sees neither its
 /// start nor its end. A missing replica is therefore kept until it would have registered again, as far as its drain
 /// time allows. Returns the time from which the replica counts as removed.
+/// `learnedAt` is when the first daemon learned of it: the time is the same at all daemons, however late they learn.
 Core::time_point recordMissing(suspected_removals &pending, const std::string &id, Core::duration outageGracePeriod,
-                               Core::time_point now);
+                               Core::time_point learnedAt);
 
 /// Records that a replica's registration is present, which clears the suspected removal.
 void recordPresent(suspected_removals &pending, const std::string &id);
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -99,6 +99,7 @@
   revision @1 :UInt64;            # The feed's position when the entry changed.
   deleted @2 :Bool;
   content @3 :Text;
+  ageMilliseconds @4 :UInt32;     # Since the first daemon that relays the entry read it from the store.
 }
 
 struct FeedKind {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -2207,6 +2207,8 @@
     inline bool hasContent() const;
     inline ::capnp::Text::Reader getContent() const;
 
+    inline ::uint32_t getAgeMilliseconds() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -2270,6 +2272,9 @@
     inline void adoptContent(::capnp::Orphan<::capnp::Text> &&value);
     inline ::capnp::Orphan<::capnp::Text> disownContent();
 
+    inline ::uint32_t getAgeMilliseconds();
+    inline void setAgeMilliseconds(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -5343,6 +5348,20 @@
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline ::uint32_t FeedEntry::Reader::getAgeMilliseconds() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t FeedEntry::Builder::getAgeMilliseconds()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedEntry::Builder::setAgeMilliseconds(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedKind::Reader::hasKind() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Tests/LibExchange/TestFeed.cpp
+++ b/Tests/LibExchange/TestFeed.cpp
@@ -12,6 +12,8 @@
 
 namespace
 {
+constexpr Core::time_point now {std::chrono::seconds(1000)};
+
 feed_update incrementalUpdate(std::uint64_t position, std::vector<feed_entry> entries)
 {
     return {"k", position, false, std::move(entries), {}};
@@ -88,8 +90,9 @@
             source,
             incrementalUpdate(revision, {{name, revision, deleted, deleted ? "" : "c" + std::to_string(revision)}}));
         if (draw(40) == 0) {
-            const std::string page = Exchange::encodeFeed({Exchange::changesAfter(source, "k", follower.position)});
-            const auto decoded = Exchange::decodeFeed(page);
+            const std::string page =
+                Exchange::encodeFeed({Exchange::changesAfter(source, "k", follower.position)}, now);
+            const auto decoded = Exchange::decodeFeed(page, now);
             ASSERT_TRUE(decoded);
             (void)Exchange::applyUpdate(follower, decoded->front());
             EXPECT_EQ(contentsOf(follower), contentsOf(source));
@@ -100,14 +103,14 @@
 
 TEST(Feed, DecodeRefusesMalformedPage)
 {
-    EXPECT_FALSE(Exchange::decodeFeed("abc"));
-    EXPECT_FALSE(Exchange::decodeFeed(std::string(64, '\xff')));
-    std::string page = Exchange::encodeFeed({fullUpdate(8, {{"a", 3, false, "a"}})});
+    EXPECT_FALSE(Exchange::decodeFeed("abc", now));
+    EXPECT_FALSE(Exchange::decodeFeed(std::string(64, '\xff'), now));
+    std::string page = Exchange::encodeFeed({fullUpdate(8, {{"a", 3, false, "a"}})}, now);
     std::mt19937_64 random(9);
     for (int round = 0; round < 2000; ++round) {
         std::string corrupted = page;
         corrupted[random() % corrupted.size()] = static_cast<char>(random());
-        (void)Exchange::decodeFeed(corrupted); // Must neither crash nor hang on malformed bytes.
+        (void)Exchange::decodeFeed(corrupted, now); // Must neither crash nor hang on malformed bytes.
     }
 }
 
@@ -128,3 +131,28 @@
     (void)Exchange::applyUpdate(upToDate["one"], incrementalUpdate(90, {{"a", 90, true, ""}}));
     EXPECT_EQ(Exchange::progressNumber(upToDate), before) << "the number must never decrease";
 }
+
+/// Guards against a daemon that learns late of a removal and takes the age of the news for zero: the age includes the
+/// time at each daemon that relayed the entry.
+TEST(Feed, AgeOfEntriesGrowsWithEachDaemonThatRelaysThem)
+{
+    using namespace std::chrono_literals;
+    Exchange::feed_state source;
+    Exchange::feed_state relay;
+    const feed_update known = incrementalUpdate(2, {{"a", 2, false, "content", {}}});
+    for (Exchange::feed_state *state : {&source, &relay}) {
+        (void)Exchange::applyUpdate(*state, known);
+    }
+    (void)Exchange::applyUpdate(source, incrementalUpdate(6, {{"a", 6, true, "", now}}));
+    const auto overWire = [](const Exchange::feed_state &state, Core::duration sentAfter, Core::duration clockOffset) {
+        const std::string page = Exchange::encodeFeed({Exchange::changesAfter(state, "k", 1)}, now + sentAfter);
+        return Exchange::decodeFeed(page, now + sentAfter + clockOffset).value().at(0);
+    };
+    (void)Exchange::applyUpdate(relay, overWire(source, 700ms, 1h)); // The clocks of daemons have nothing in common.
+    EXPECT_EQ(relay.entries.at("a").learnedAt, now + 1h);
+    Exchange::feed_state last;
+    (void)Exchange::applyUpdate(last, known);
+    const auto removed = Exchange::applyUpdate(last, overWire(relay, 1h + 1900ms, -30min));
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_EQ(removed[0].learnedAt, now + 30min);
+}
--- a/Tests/LibExchange/TestFeedServer.cpp
+++ b/Tests/LibExchange/TestFeedServer.cpp
@@ -45,7 +45,7 @@
     EXPECT_FALSE(m_answer);
     applyChange(4, "a");
     ASSERT_TRUE(runUntil([this]() { return m_answer.has_value(); }));
-    const auto updates = Exchange::decodeFeed(m_answer->body);
+    const auto updates = Exchange::decodeFeed(m_answer->body, std::chrono::steady_clock::now());
     ASSERT_TRUE(updates);
     EXPECT_EQ(updates->at(0).position, 4U);
     EXPECT_EQ(updates->at(0).entries.size(), 1U);
@@ -65,7 +65,7 @@
     EXPECT_FALSE(m_answer);
     ASSERT_TRUE(runUntil([this]() { return m_answer.has_value(); }));
     EXPECT_EQ(m_answer->status, 200U);
-    EXPECT_TRUE(Exchange::decodeFeed(m_answer->body)->at(0).entries.empty());
+    EXPECT_TRUE(Exchange::decodeFeed(m_answer->body, std::chrono::steady_clock::now())->at(0).entries.empty());
 }
 
 TEST_F(feed_server_test, RefusesRequestsWhenNotASource)
--- a/Tests/LibForward/TestSuspectedRemovals.cpp
+++ b/Tests/LibForward/TestSuspectedRemovals.cpp
@@ -34,6 +34,17 @@
     }
 }
 
+/// Guards against replicas that are used beyond their drain time by daemons that learn late that they are missing.
+TEST(SuspectedRemovals, LateNewsShortenTheDoubt)
+{
+    Forward::suspected_removals pending {.drainTime = 3s, .removedAt = {}};
+    const Core::time_point learnedAt {10s};
+    EXPECT_EQ(Forward::recordMissing(pending, "r", {}, learnedAt), learnedAt + 2200ms);
+    // Another daemon's news are 2 s old when they arrive, at 12 s of this clock.
+    EXPECT_TRUE(Forward::takeRemoved(pending, learnedAt + 2s).empty());
+    EXPECT_EQ(Forward::takeRemoved(pending, learnedAt + 2200ms), std::vector<std::string> {"r"});
+}
+
 /// After a store outage live replicas register again within 2 s. None of them may be removed before that.
 TEST(SuspectedRemovals, KeepsReplicaUntilItCanRegisterAgainAfterOutage)
 {
