LibForward: Use replicas that leave for half of their drain time while the others are busy

Cause: the replicas that stay had to take everything at once, although those that leave serve on for their drain time. Change: a replica that leaves, by its registration, its answers or its closed connections, is ranked behind the others by the 50 ms of a missing registration, for the first half of its drain time from the first news; then it gets nothing. Never for hedges.

--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -1,5 +1,6 @@
 #include "LibForward/ChooseReplica.h"
 
+#include "LibForward/AttemptKind.h"
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ExpectedLatency.h"
 #include "LibForward/ReplicaNotices.h"
@@ -67,6 +68,9 @@
     if (filter.rollout != nullptr && sideOf(*filter.rollout, replica) != filter.side) {
         return false;
     }
+    if (replica.leavesAt && filter.kind == attempt_kind::Hedge) {
+        return false;
+    }
     return acceptsRequests(replica, now) && !replicaTable.evacuatedDataCentres.contains(replica.registration.dataCentre)
         && isRegionAllowed(replicaTable, replica, filter.allowedRegions)
         && isWithinColdLimit(replicaTable, replica, filter.policy, now)
--- a/Libraries/LibForward/ExpectedLatency.cpp
+++ b/Libraries/LibForward/ExpectedLatency.cpp
@@ -19,8 +19,8 @@
 /// At a refusal rate of 1. More than the way to another region and back: a replica there that accepts is preferred.
 static constexpr Core::real_seconds refusalPenalty = 80ms;
 static constexpr Core::real_seconds avoidPenalty = 2s; ///< Ranks avoided replicas behind all others.
-/// Several service times: registered replicas of the service are preferred unless their queues are long.
-static constexpr Core::real_seconds missingPenalty = 50ms;
+/// Several service times: replicas that stay are preferred to missing and leaving ones unless their queues are long.
+static constexpr Core::real_seconds departurePenalty = 50ms;
 static constexpr double coldFactor = 1.6; ///< Slowdown of cold replicas, approximately.
 
 Core::duration networkRoundTrip(locality distance)
@@ -89,8 +89,8 @@
     }
     expected += errorPenalty * decayedErrorRate(replica, now);
     expected += refusalPenalty * decayedRefusalRate(replica, now);
-    if (replica.missing) {
-        expected += missingPenalty;
+    if (replica.missing || replica.leavesAt) {
+        expected += departurePenalty;
     }
     if (now < replica.avoidUntil) {
         expected += avoidPenalty;
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -1,5 +1,6 @@
 #include "LibForward/ReplicaList.h"
 
+#include "LibForward/ReplicaNotices.h"
 #include "LibForward/ReplicaTable.h"
 
 #include <algorithm>
@@ -71,7 +72,11 @@
             replica.registration = registration;
             replica.coldUntil = now + registration.remainingSlowStart;
             replica.missing = false;
-            replica.leftWithoutNotice = false;
+            if (registration.draining) {
+                recordDeparture(replicaTable, replica, now);
+            } else if (!replica.shuttingDown) {
+                replica.leavesAt.reset();
+            }
             return std::nullopt;
         }
         replica.removed = true;
@@ -82,13 +87,18 @@
     replica.registration = registration;
     replica.distance = distanceTo(replicaTable, registration.dataCentre);
     replica.coldUntil = now + registration.remainingSlowStart;
+    if (registration.draining) {
+        recordDeparture(replicaTable, replica, now);
+    }
     return slot;
 }
 
-void markMissing(replica_table &replicaTable, const std::string &id)
+void markMissing(replica_table &replicaTable, const std::string &id, Core::time_point learnedAt)
 {
     if (const std::optional<replica_key> known = findReplica(replicaTable, id)) {
-        replicaAt(replicaTable, *known).missing = true;
+        replica_state &replica = replicaAt(replicaTable, *known);
+        replica.missing = true;
+        replica.missingSince = learnedAt;
     }
 }
 
--- a/Libraries/LibForward/ReplicaList.h
+++ b/Libraries/LibForward/ReplicaList.h
@@ -20,12 +20,12 @@
 [[nodiscard]] replica_state &replicaAt(replica_table &replicaTable, const replica_key &key);
 
 /// Adds or updates a replica from its registration. Returns the replica's key if the replica is new or was restarted,
-/// in which case existing connections to it must be closed.
+/// in which case existing connections to it must be closed. `now` is when the registration was read from the store.
 std::optional<replica_key> applyRegistration(replica_table &replicaTable, const replica_registration &registration,
                                              Core::time_point now);
 
 /// Marks a replica whose registration is missing. It is chosen only if no registered replica serves well.
-void markMissing(replica_table &replicaTable, const std::string &id);
+void markMissing(replica_table &replicaTable, const std::string &id, Core::time_point learnedAt);
 
 /// Removes a replica. Returns its key if the replica was known.
 std::optional<replica_key> removeReplica(replica_table &replicaTable, const std::string &id);
--- a/Libraries/LibForward/ReplicaNotices.cpp
+++ b/Libraries/LibForward/ReplicaNotices.cpp
@@ -17,14 +17,25 @@
 /// Longer times are cut, so that no time point overflows.
 static constexpr Core::duration maximumRetryAfter = std::chrono::hours(24 * 365);
 
-bool recordShutdownNotice(replica_state &replica)
+void recordDeparture(const replica_table &replicaTable, replica_state &replica, Core::time_point learnedAt)
 {
+    const Core::time_point leavesAt = learnedAt + replicaTable.drainTime / 2;
+    replica.leavesAt = std::min(replica.leavesAt.value_or(leavesAt), leavesAt);
+}
+
+bool recordShutdownNotice(const replica_table &replicaTable, replica_state &replica, Core::time_point now)
+{
+    recordDeparture(replicaTable, replica, now);
     return !std::exchange(replica.shuttingDown, true);
 }
 
-bool recordClosing(replica_state &replica)
+bool recordClosing(const replica_table &replicaTable, replica_state &replica)
 {
-    return replica.missing && !std::exchange(replica.leftWithoutNotice, true);
+    if (!replica.missing || replica.leavesAt) {
+        return false;
+    }
+    recordDeparture(replicaTable, replica, replica.missingSince);
+    return true;
 }
 
 bool recordRetryAfter(const replica_table &replicaTable, replica_state &replica, Core::duration period,
@@ -48,15 +59,15 @@
 /// Returns from when on the replica takes requests; nothing if it takes none any more.
 static std::optional<Core::time_point> acceptsFrom(const replica_state &replica)
 {
-    const bool isLeaving =
-        replica.removed || replica.registration.draining || replica.shuttingDown || replica.leftWithoutNotice;
-    return isLeaving ? std::nullopt : std::optional(std::max(replica.quietUntil, replica.displacedUntil));
+    const Core::time_point from = std::max(replica.quietUntil, replica.displacedUntil);
+    const bool isGone = replica.removed || (replica.leavesAt && *replica.leavesAt <= from);
+    return isGone ? std::nullopt : std::optional(from);
 }
 
 bool acceptsRequests(const replica_state &replica, Core::time_point time)
 {
     const std::optional<Core::time_point> from = acceptsFrom(replica);
-    return from && *from <= time;
+    return from && *from <= time && (!replica.leavesAt || time < *replica.leavesAt);
 }
 
 bool hasAcceptingReplica(const service_state &service, Core::time_point time)
@@ -73,7 +84,7 @@
         std::optional<Core::time_point> earliest;
         for (const replica_state &replica : replicaTable.services[service]->replicas) {
             const std::optional<Core::time_point> from = acceptsFrom(replica);
-            if (from && (!earliest || *from < *earliest)) {
+            if (from && acceptsRequests(replica, std::max(*from, now)) && (!earliest || *from < *earliest)) {
                 earliest = from;
             }
         }
--- a/Libraries/LibForward/ReplicaNotices.h
+++ b/Libraries/LibForward/ReplicaNotices.h
@@ -4,8 +4,8 @@
 
 #include <optional>
 
-/// What a replica's answers ask of this daemon: to send nothing more, since the replica shuts down, or to send nothing
-/// for a while. Both end with the replica's start: a replica that registers a new one is asked again.
+/// What replicas ask of this daemon: to send nothing more, since they leave, or to send nothing for a while. Both end
+/// when the replica starts again.
 namespace Forward
 {
 struct replica_state;
@@ -13,12 +13,17 @@
 struct request_state;
 struct service_state;
 
+/// Records that the replica leaves, as known since `learnedAt`. It serves on for its drain time. For the first half of
+/// that it relieves replicas whose queues are long; the other half is left for news that come late.
+void recordDeparture(const replica_table &replicaTable, replica_state &replica, Core::time_point learnedAt);
+
 /// Records that an answer of the replica says that it shuts down. Returns whether that is new.
-[[nodiscard]] bool recordShutdownNotice(replica_state &replica);
+[[nodiscard]] bool recordShutdownNotice(const replica_table &replicaTable, replica_state &replica,
+                                        Core::time_point now);
 
 /// Records that the replica closes a connection after its answer. Replicas that shut down do so, and others only now
 /// and then; so this shows that one whose registration is missing has left. Returns whether that is new.
-[[nodiscard]] bool recordClosing(replica_state &replica);
+[[nodiscard]] bool recordClosing(const replica_table &replicaTable, replica_state &replica);
 
 /// Records that a refusal of the replica asks this daemon to send nothing for `period`. Adds a delay that differs
 /// between the daemons, so that they do not all return at once. Returns whether the time has been extended.
--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -17,10 +17,11 @@
     replica_registration registration;
     locality distance = locality::OtherRegion;
     bool missing = false; ///< The registration is missing; the removal is only suspected so far.
+    Core::time_point missingSince;
     bool removed = false; ///< Removed; kept while requests are outstanding so that indices stay valid.
     bool shuttingDown = false; ///< An answer has said so, whatever the registration says.
-    /// Its registration is missing and it closes its connections: it has left, and not only lost the registration.
-    bool leftWithoutNotice = false;
+    /// Set if the replica leaves. Until then replicas that stay are preferred; from then on it gets nothing.
+    std::optional<Core::time_point> leavesAt;
     Core::time_point quietUntil; ///< The replica has asked this daemon to send nothing until then.
     Core::time_point coldUntil;
     boost::container::small_vector<Core::time_point, 4> outstanding; ///< Send times of pending requests, oldest first.
--- a/Libraries/LibForward/ReplicaTable.h
+++ b/Libraries/LibForward/ReplicaTable.h
@@ -28,6 +28,7 @@
     std::uint64_t ownHash = 0; ///< Hash of this daemon's name.
     std::vector<std::uint64_t> otherHashes; ///< Hashes of the names of the others that share slow-start limits.
     limit_sharers limitSharers;
+    Core::duration drainTime {}; ///< How long replicas keep serving after they have announced that they leave.
     double coldOvershoot = 1.0; ///< Tolerated multiple of a service's configured cold request rate.
     double coldSlack = 0.0; ///< Requests per second tolerated beyond that, over all daemons.
 };
--- a/Libraries/LibFront/ReplicaReport.cpp
+++ b/Libraries/LibFront/ReplicaReport.cpp
@@ -59,10 +59,13 @@
     return boost::beast::http::token_list(reply[boost::beast::http::field::connection]).exists("close");
 }
 
-static void recordShutdown(front_environment &environment, Forward::replica_state &replica, const reply_message &reply)
+static void recordShutdown(front_environment &environment, Forward::replica_state &replica, const reply_message &reply,
+                           Core::time_point now)
 {
-    const bool isStated = announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replica);
-    const bool isInferred = closesConnection(reply) && Forward::recordClosing(replica);
+    const Forward::replica_table &replicaTable = environment.forward.replicaTable;
+    const bool isStated =
+        announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replicaTable, replica, now);
+    const bool isInferred = closesConnection(reply) && Forward::recordClosing(replicaTable, replica);
     if (isStated || isInferred) {
         environment.log.write("replica_shutting_down",
                               {{"replica", replica.registration.id},
@@ -120,7 +123,7 @@
     }
     Forward::replica_state &replica = Forward::replicaAt(environment.forward.replicaTable, key);
     recordStatedLimit(environment, replica, reply, kind, now);
-    recordShutdown(environment, replica, reply);
+    recordShutdown(environment, replica, reply, now);
     recordQuietTime(environment, replica, reply, now);
 }
 } // namespace Front
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -1,6 +1,7 @@
 #include "Fixtures.h"
 
 #include "LibForward/AttemptFailure.h"
+#include "LibForward/AttemptKind.h"
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ReplicaEvents.h"
@@ -113,12 +114,12 @@
 /// expired, all replicas stay in use.
 TEST_F(choose_replica_test, ChoosesMissingReplicaOnlyWhenNoOtherIsRegistered)
 {
-    Forward::markMissing(m_context.replicaTable, "r-a");
+    Forward::markMissing(m_context.replicaTable, "r-a", m_now);
     EXPECT_NE(choose(), "r-a");
-    Forward::markMissing(m_context.replicaTable, "r-b");
-    Forward::markMissing(m_context.replicaTable, "r-c");
+    Forward::markMissing(m_context.replicaTable, "r-b", m_now);
+    Forward::markMissing(m_context.replicaTable, "r-c", m_now);
     EXPECT_EQ(choose(), "r-a");
-    Forward::markMissing(m_context.replicaTable, "unknown");
+    Forward::markMissing(m_context.replicaTable, "unknown", m_now);
     Forward::applyRegistration(m_context.replicaTable, Fixtures::replicaRegistration("r-c", "s0", "c"), m_now);
     EXPECT_EQ(choose(), "r-c");
 }
@@ -219,8 +220,8 @@
 TEST_F(choose_replica_test, NeverChoosesReplicaThatSaysItShutsDown)
 {
     Forward::replica_state &nearest = m_context.replicaTable.services[0]->replicas[0];
-    EXPECT_TRUE(Forward::recordShutdownNotice(nearest));
-    EXPECT_FALSE(Forward::recordShutdownNotice(nearest));
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, nearest, m_now));
+    EXPECT_FALSE(Forward::recordShutdownNotice(m_context.replicaTable, nearest, m_now));
     EXPECT_NE(choose(), "r-a");
     Forward::replica_registration again = nearest.registration;
     Forward::applyRegistration(m_context.replicaTable, again, m_now);
@@ -235,10 +236,11 @@
 TEST_F(choose_replica_test, NeverChoosesMissingReplicaThatClosesItsConnections)
 {
     Forward::replica_state &nearest = m_context.replicaTable.services[0]->replicas[0];
-    EXPECT_FALSE(Forward::recordClosing(nearest)) << "registered replicas close connections now and then";
+    EXPECT_FALSE(Forward::recordClosing(m_context.replicaTable, nearest))
+        << "registered replicas close connections now and then";
     EXPECT_EQ(choose(), "r-a");
-    Forward::markMissing(m_context.replicaTable, "r-a");
-    EXPECT_TRUE(Forward::recordClosing(nearest));
+    Forward::markMissing(m_context.replicaTable, "r-a", m_now);
+    EXPECT_TRUE(Forward::recordClosing(m_context.replicaTable, nearest));
     for (const char *other : {"r-b", "r-c"}) {
         Forward::removeReplica(m_context.replicaTable, other);
     }
@@ -272,3 +274,29 @@
     EXPECT_FALSE(Forward::recordRetryAfter(m_context.replicaTable, only, 1s, m_now))
         << "a shorter time changes nothing";
 }
+
+/// Guards against a shard that is refused, or whose last replica is overloaded, although replicas that leave serve on
+/// for their drain time. The first half of it is used while the others are busy, but never for hedges.
+TEST_F(choose_replica_test, ChoosesLeavingReplicaForAWhileWhenTheOthersAreBusy)
+{
+    m_context.replicaTable.drainTime = 3s;
+    std::vector<Forward::replica_state> &replicas = m_context.replicaTable.services[0]->replicas;
+    const Core::time_point learnedAt = m_now;
+    Forward::replica_registration draining = replicas[0].registration;
+    draining.draining = true;
+    Forward::applyRegistration(m_context.replicaTable, draining, learnedAt);
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, replicas[1], learnedAt));
+    EXPECT_EQ(choose(), "r-c") << "farther, but it stays";
+    for (int sent = 0; sent < 30; ++sent) {
+        Forward::recordSent(m_context.replicaTable, keyOf(2), m_now);
+    }
+    EXPECT_EQ(choose(), "r-a");
+    Forward::removeReplica(m_context.replicaTable, "r-c");
+    EXPECT_EQ(choose(), "r-a");
+    EXPECT_EQ(choose({.kind = Forward::attempt_kind::Hedge}), "none");
+    m_now = learnedAt + 1400ms;
+    EXPECT_FALSE(Forward::recordShutdownNotice(m_context.replicaTable, replicas[1], m_now));
+    EXPECT_EQ(choose(), "r-a");
+    m_now = learnedAt + 1500ms;
+    EXPECT_EQ(choose(), "none") << "further notices do not extend the time";
+}
--- a/Tests/LibForward/TestRequestEvents.cpp
+++ b/Tests/LibForward/TestRequestEvents.cpp
@@ -390,7 +390,7 @@
     EXPECT_FALSE(left());
     m_now += 200ms;
     EXPECT_TRUE(left());
-    EXPECT_TRUE(Forward::recordShutdownNotice(replica));
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, replica, m_now));
     EXPECT_FALSE(left());
     const auto again = fail(effects.sends[0].attempt, Forward::attempt_failure::Withdrawn);
     ASSERT_EQ(again.sends.size(), 1U);
