LibForward: Let only the established version serve while no rollout order is known

What callers saw: a bad version got about half of a service's requests from daemons that did not know the order (EXPOSURE): new replicas are registered before the order is known, and a daemon loses the order when it restarts while the store is away, or when the entry is removed. Cause: without a rollout, replicas of all versions were chosen alike. Class: a limit that holds only where its reason is known. Change: while replicas of several versions are registered and no order is known, the version serves that was there alone before, or that of the replica that has run longest; another one only when no replica of it is left.

--- a/Libraries/LibForward/ChoiceFilter.h
+++ b/Libraries/LibForward/ChoiceFilter.h
@@ -19,6 +19,7 @@
     std::span<const std::string> allowedRegions {}; ///< Empty: all regions are allowed.
     const rollout_state *rollout = nullptr; ///< The service's rollout; null if any version may be chosen.
     Rollout::version_side side = Rollout::version_side::Old; ///< During a rollout, the side that may be chosen.
+    const std::string *version = nullptr; ///< Without a rollout, the version that may be chosen; null: any.
     std::span<const std::size_t> tried {}; ///< Replicas that have already been sent this request.
 };
 } // namespace Forward
--- a/Libraries/LibForward/ChooseForRequest.cpp
+++ b/Libraries/LibForward/ChooseForRequest.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/ChoiceFilter.h"
 #include "LibForward/ChooseReplica.h"
 #include "LibForward/ForwardContext.h"
+#include "LibForward/ReplicaList.h"
 #include "LibForward/RequestLimits.h"
 #include "LibForward/RequestState.h"
 #include "LibForward/RolloutEvents.h"
@@ -22,7 +23,7 @@
                                             forward_context &context, Core::time_point now)
 {
     const std::size_t service = request.plan.services[subrequest];
-    const service_state &state = *context.replicaTable.services[service];
+    service_state &state = *context.replicaTable.services[service];
     const auto &tried = request.subrequests[subrequest].tried;
     choice_filter filter {.kind = kind,
                           .policy = policyOf(request.plan, state),
@@ -30,6 +31,9 @@
                           .tried = {tried.data(), tried.size()}};
     const auto rollout = context.rollouts.find(state.name);
     if (rollout == context.rollouts.end()) {
+        if (state.hasSeveralVersions) {
+            filter.version = &establishedVersion(state);
+        }
         return chooseReplica(context.replicaTable, service, filter, now, context.random);
     }
     filter.rollout = &rollout->second;
--- a/Libraries/LibForward/ChooseReplica.cpp
+++ b/Libraries/LibForward/ChooseReplica.cpp
@@ -68,6 +68,9 @@
     if (filter.rollout != nullptr && sideOf(*filter.rollout, replica) != filter.side) {
         return false;
     }
+    if (filter.version != nullptr && *filter.version != replica.registration.version) {
+        return false;
+    }
     if (replica.leavesAt && filter.kind == attempt_kind::Hedge) {
         return false;
     }
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -59,6 +59,43 @@
     return {serviceIndex, replicas.size() - 1};
 }
 
+static void updateVersions(service_state &service)
+{
+    const std::string *version = nullptr;
+    service.hasSeveralVersions = false;
+    for (const replica_state &replica : service.replicas) {
+        if (replica.removed) {
+            continue;
+        }
+        service.hasSeveralVersions =
+            service.hasSeveralVersions || (version != nullptr && *version != replica.registration.version);
+        version = &replica.registration.version;
+    }
+    if (version != nullptr && !service.hasSeveralVersions) {
+        service.establishedVersion = *version;
+    }
+}
+
+const std::string &establishedVersion(service_state &service)
+{
+    const replica_state *oldest = nullptr;
+    for (const replica_state &replica : service.replicas) {
+        if (replica.removed || replica.leavesAt) {
+            continue;
+        }
+        if (replica.registration.version == service.establishedVersion) {
+            return service.establishedVersion;
+        }
+        if (oldest == nullptr || replica.registration.startedAt < oldest->registration.startedAt) {
+            oldest = &replica;
+        }
+    }
+    if (oldest != nullptr) {
+        service.establishedVersion = oldest->registration.version;
+    }
+    return service.establishedVersion;
+}
+
 std::optional<replica_key> applyRegistration(replica_table &replicaTable, const replica_registration &registration,
                                              Core::time_point now)
 {
@@ -70,6 +107,7 @@
             && replica.registration.service == registration.service;
         if (sameStart) {
             replica.registration = registration;
+            updateVersions(*replicaTable.services[known->service]);
             replica.coldUntil = now + registration.remainingSlowStart;
             replica.missing = false;
             if (registration.draining) {
@@ -80,6 +118,7 @@
             return std::nullopt;
         }
         replica.removed = true;
+        updateVersions(*replicaTable.services[known->service]);
     }
     const replica_key slot = allocateSlot(replicaTable, serviceIndex(replicaTable, registration.service));
     replica_state &replica = replicaAt(replicaTable, slot);
@@ -90,6 +129,7 @@
     if (registration.draining) {
         recordDeparture(replicaTable, replica, now);
     }
+    updateVersions(*replicaTable.services[slot.service]);
     return slot;
 }
 
@@ -107,6 +147,7 @@
     const std::optional<replica_key> known = findReplica(replicaTable, id);
     if (known) {
         replicaAt(replicaTable, *known).removed = true;
+        updateVersions(*replicaTable.services[known->service]);
     }
     return known;
 }
--- a/Libraries/LibForward/ReplicaList.h
+++ b/Libraries/LibForward/ReplicaList.h
@@ -30,6 +30,11 @@
 /// Removes a replica. Returns its key if the replica was known.
 std::optional<replica_key> removeReplica(replica_table &replicaTable, const std::string &id);
 
+/// Returns the version that serves while replicas of several versions are registered and no rollout is known: the one
+/// that served before, or that of the replica that has run longest. Replicas of a new version start before the order to
+/// use them is known, and a daemon may not know the order at all.
+[[nodiscard]] const std::string &establishedVersion(service_state &service);
+
 /// Returns the ids of all replicas that have not been removed.
 [[nodiscard]] std::vector<std::string> registeredReplicaIds(const replica_table &replicaTable);
 } // namespace Forward
--- a/Libraries/LibForward/ServiceState.h
+++ b/Libraries/LibForward/ServiceState.h
@@ -14,6 +14,8 @@
 struct service_state {
     std::string name;
     std::vector<replica_state> replicas; ///< Slots of removed replicas are reused.
+    std::string establishedVersion; ///< The version that served before another one was registered beside it.
+    bool hasSeveralVersions = false;
     retry_budget retryBudget;
     Core::real_seconds serviceTime {}; ///< Smoothed latency minus the network round trip; 0: no response yet.
 };
