LibRollout, LibForward, platform: Bound by counted requests what a new version gets

What callers saw: a bad version got more than its share of the requests in the time of its rollout (EXPOSURE). Cause: the plan went by time alone and left no room. Daemons that learn of the order late or restart followed plans of their own. Ruled out: evidence that is late (the bound is broken without any bad answer). Change: each daemon counts its requests since it knows the order and keeps the new version's part of them under 0.6 of the allowed share (exposure-share of the settings) until the rollout completes; it completes once the rest of the requests, at 1.3 times the present rate, fits into the allowed share, which is checked every 100 ms towards the end. Daemons tell each other the order's age. A daemon that finds a version bad tells all others at once. Why it works: the bound holds for each daemon's own requests, so it holds for their sum, whatever the traffic, the restarts and the daemons' clocks do.

--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -115,11 +115,23 @@
 void peer_exchange::leave()
 {
     Membership::leave(m_table);
-    const Membership::gossip_message announcement = Membership::makeAnnouncement(m_table);
+    sendToAll(datagram_kind::Round, Membership::makeAnnouncement(m_table));
+}
+
+void peer_exchange::broadcast(const Membership::keyed_blob &blob)
+{
+    Membership::gossip_message announcement = Membership::makeAnnouncement(m_table);
+    announcement.blobs.push_back(blob);
+    // Sent as a reply, since the receivers would answer a round.
+    sendToAll(datagram_kind::Reply, announcement);
+}
+
+void peer_exchange::sendToAll(datagram_kind kind, const Membership::gossip_message &message)
+{
     for (const Membership::member_record *member :
          Membership::liveMembers(m_table, m_settings, std::chrono::steady_clock::now())) {
         if (member != &m_table.self) {
-            sendTo(member->peerAddress, datagram_kind::Round, announcement);
+            sendTo(member->peerAddress, kind, message);
         }
     }
 }
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -56,6 +56,8 @@
     void start();
     /// Announces to all live members that this daemon leaves.
     void leave();
+    /// Sends a blob to all live members at once.
+    void broadcast(const Membership::keyed_blob &blob);
     void setConfigurationNumber(std::uint64_t number);
     /// Makes this daemon send heartbeat messages while it is active.
     void setActive(bool active);
@@ -76,6 +78,7 @@
     void onDatagram(std::string_view bytes);
     void addBlobs(Membership::gossip_message &message);
     void sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message);
+    void sendToAll(datagram_kind kind, const Membership::gossip_message &message);
     void sendBytes(const std::string &address, const std::string &bytes);
     [[nodiscard]] bool isServing(const Membership::member_state &member, Core::time_point now) const;
     void detectSuspension(Core::time_point now);
--- a/Libraries/LibForward/RequestEvents.cpp
+++ b/Libraries/LibForward/RequestEvents.cpp
@@ -31,6 +31,16 @@
 /// A response sent later than this after its deadline is unlikely to reach the caller within the target latency.
 static constexpr Core::duration lateTolerance = std::chrono::milliseconds(5);
 
+/// Returns the rollout of the replica's service; null if there is none.
+static rollout_state *rolloutOf(forward_context &context, const replica_key &key)
+{
+    if (context.rollouts.empty()) {
+        return nullptr;
+    }
+    const auto rollout = context.rollouts.find(context.replicaTable.services[key.service]->name);
+    return rollout == context.rollouts.end() ? nullptr : &rollout->second;
+}
+
 static void send(request_state &request, std::size_t subrequestIndex, std::size_t replica, attempt_kind kind,
                  forward_context &context, request_effects &effects, Core::time_point now)
 {
@@ -38,6 +48,9 @@
     const replica_key key {request.plan.services[subrequestIndex], replica};
     recordSent(context.replicaTable, key, now);
     recordColdRequest(replicaAt(context.replicaTable, key), now);
+    if (rollout_state *rollout = rolloutOf(context, key)) {
+        recordRolloutRequest(*rollout, sideOf(*rollout, replicaAt(context.replicaTable, key)));
+    }
     const std::uint32_t attempt = request.nextAttempt++;
     subrequest.tried.push_back(replica);
     subrequest.running.push_back({attempt, key, now, kind});
@@ -350,6 +363,9 @@
 void recordUnsentAttempt(forward_context &context, const replica_key &replica, attempt_kind kind,
                          Core::time_point sentAt, Core::time_point now)
 {
+    if (rollout_state *rollout = rolloutOf(context, replica)) {
+        recordUnsentRolloutRequest(*rollout, sideOf(*rollout, replicaAt(context.replicaTable, replica)));
+    }
     if (kind != attempt_kind::First) {
         returnRetry(context.replicaTable.services[replica.service]->retryBudget, context.replicaTable.retryLimits,
                     sentAt, now);
