LibExchange, LibForward, platform: Notice a silent store by probes, and keep what replicas have asked for

And a notice counted from the moment at which a daemon first heard it, however long before the replica had left. A notice counts from the latest answer without it. What a replica has asked for holds while its start lasts, also when its registration lapses and is back. The soak's replicas say that they leave, and for how long they want nothing. Tests: StoreContact.SilentStoreEndsTheRelayAtOnce, choose_replica_test.NoticeCountsFromTheLatestAnswerWithoutIt and ...NoticesHoldWhenTheSameStartIsRegisteredAgain (with the functions that they test).

--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -150,6 +150,26 @@
     updateSourceRole(now);
 }
 
+void feed_control::recordStoreProbe(bool isAnswered)
+{
+    const Core::time_point now = std::chrono::steady_clock::now();
+    const bool wasSilent = m_storeContact.silentSince.has_value();
+    recordProbe(m_storeContact, isAnswered, now);
+    if (wasSilent != m_storeContact.silentSince.has_value()) {
+        m_log.writeAlways(isAnswered ? "store_answers" : "store_silent", {{"known", m_progressNumber}});
+        if (isAnswered) {
+            // Connections that have fallen silent may stay so.
+            m_hooks.refresh();
+        }
+    }
+    updateSourceRole(now);
+}
+
+bool feed_control::isWatchingStore() const
+{
+    return m_isWatchingStore;
+}
+
 void feed_control::updateSourceRole(Core::time_point now)
 {
     m_server.setSource(m_isWatchingStore && canRelayUpdates(m_storeContact, now));
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -37,10 +37,13 @@
     void applyUpdates(const std::vector<feed_update> &updates);
     /// Records whether the store answers this daemon's watches.
     void setStoreReachable(bool reachable);
+    /// Records whether the store has answered a probe. To be called while this daemon watches the store.
+    void recordStoreProbe(bool isAnswered);
     /// Decides again where to read updates from; must be called in each gossip round.
     void decide(Core::time_point now);
 
     [[nodiscard]] bool isComplete() const;
+    [[nodiscard]] bool isWatchingStore() const;
     /// Returns whether this daemon is one of those that watch the store for the others.
     [[nodiscard]] bool isAssignedToStore() const;
     [[nodiscard]] feed_server &server();
--- a/Libraries/LibExchange/StoreContact.cpp
+++ b/Libraries/LibExchange/StoreContact.cpp
@@ -19,14 +19,30 @@
     }
 }
 
+void recordProbe(store_contact &contact, bool isAnswered, Core::time_point now)
+{
+    if (isAnswered) {
+        contact.silentSince.reset();
+    } else if (!contact.silentSince) {
+        contact.silentSince = now;
+    }
+}
+
 Core::duration unreachableFor(const store_contact &contact, Core::time_point now)
 {
-    return contact.failingSince ? now - std::max(*contact.failingSince, contact.watchingSince) : Core::duration {};
+    Core::duration longest {};
+    for (const std::optional<Core::time_point> &since : {contact.failingSince, contact.silentSince}) {
+        if (since) {
+            longest = std::max(longest, now - std::max(*since, contact.watchingSince));
+        }
+    }
+    return longest;
 }
 
 bool canRelayUpdates(const store_contact &contact, Core::time_point now)
 {
-    return !contact.failingSince || now - *contact.failingSince <= toleratedFailure;
+    const bool isFailing = contact.failingSince && now - *contact.failingSince > toleratedFailure;
+    return !isFailing && !contact.silentSince;
 }
 
 Core::time_point relayCheckTime(Core::time_point failedAt)
--- a/Libraries/LibExchange/StoreContact.h
+++ b/Libraries/LibExchange/StoreContact.h
@@ -8,13 +8,17 @@
 {
 /// Whether the store answers this daemon's watches.
 struct store_contact {
-    std::optional<Core::time_point> failingSince; ///< Since the first failure after the latest answer.
+    std::optional<Core::time_point> failingSince; ///< Since the first failure of a watch after the latest answer.
+    std::optional<Core::time_point> silentSince; ///< Since a probe was not answered; null: the latest one was.
     Core::time_point watchingSince; ///< When the daemon began to watch the store this time.
 };
 
 void recordStoreAnswer(store_contact &contact);
 void recordStoreFailure(store_contact &contact, Core::time_point now);
 
+/// Records whether the store has answered a probe. A pending watch does not show that the store has fallen silent.
+void recordProbe(store_contact &contact, bool isAnswered, Core::time_point now);
+
 /// Returns for how long the store has failed since the daemon began to watch it this time.
 [[nodiscard]] Core::duration unreachableFor(const store_contact &contact, Core::time_point now);
 
--- a/Libraries/LibForward/ReplicaList.cpp
+++ b/Libraries/LibForward/ReplicaList.cpp
@@ -126,6 +126,7 @@
     replica.registration = registration;
     replica.distance = distanceTo(replicaTable, registration.dataCentre);
     replica.coldUntil = now + registration.remainingSlowStart;
+    restoreNotices(replicaTable, replica);
     if (registration.draining) {
         recordDeparture(replicaTable, replica, now);
     }
@@ -147,6 +148,7 @@
     const std::optional<replica_key> known = findReplica(replicaTable, id);
     if (known) {
         replicaAt(replicaTable, *known).removed = true;
+        rememberNotices(replicaTable, replicaAt(replicaTable, *known));
         updateVersions(*replicaTable.services[known->service]);
     }
     return known;
--- a/Libraries/LibForward/ReplicaNotices.cpp
+++ b/Libraries/LibForward/ReplicaNotices.cpp
@@ -23,9 +23,11 @@
     replica.leavesAt = std::min(replica.leavesAt.value_or(leavesAt), leavesAt);
 }
 
+static constexpr std::size_t maximumDepartedReplicas = 2000; ///< Bounds the memory for replicas that never come back.
+
 bool recordShutdownNotice(const replica_table &replicaTable, replica_state &replica, Core::time_point now)
 {
-    recordDeparture(replicaTable, replica, now);
+    recordDeparture(replicaTable, replica, std::min(replica.stayedAt, now));
     return !std::exchange(replica.shuttingDown, true);
 }
 
@@ -34,7 +36,7 @@
     if (!replica.missing || replica.leavesAt) {
         return false;
     }
-    recordDeparture(replicaTable, replica, replica.missingSince);
+    recordDeparture(replicaTable, replica, std::min(replica.missingSince, replica.stayedAt));
     return true;
 }
 
@@ -56,6 +58,35 @@
     return isExtended;
 }
 
+void rememberNotices(replica_table &replicaTable, const replica_state &replica)
+{
+    if (!replica.leavesAt && replica.quietUntil == Core::time_point {}) {
+        return;
+    }
+    if (replicaTable.departedReplicas.size() >= maximumDepartedReplicas) {
+        replicaTable.departedReplicas.erase(replicaTable.departedReplicas.begin());
+    }
+    replicaTable.departedReplicas[replica.registration.id] = {replica.registration.startedAt, replica.shuttingDown,
+                                                              replica.leavesAt, replica.quietUntil};
+}
+
+void restoreNotices(replica_table &replicaTable, replica_state &replica)
+{
+    const auto departed = replicaTable.departedReplicas.find(replica.registration.id);
+    if (departed == replicaTable.departedReplicas.end()) {
+        return;
+    }
+    if (departed->second.startedAt == replica.registration.startedAt) {
+        replica.shuttingDown = departed->second.shuttingDown;
+        replica.quietUntil = departed->second.quietUntil;
+        // One that had only closed its connections is back.
+        if (replica.shuttingDown || replica.registration.draining) {
+            replica.leavesAt = departed->second.leavesAt;
+        }
+    }
+    replicaTable.departedReplicas.erase(departed);
+}
+
 /// Returns from when on the replica takes requests; nothing if it takes none any more.
 static std::optional<Core::time_point> acceptsFrom(const replica_state &replica)
 {
--- a/Libraries/LibForward/ReplicaNotices.h
+++ b/Libraries/LibForward/ReplicaNotices.h
@@ -17,7 +17,8 @@
 /// that it relieves replicas whose queues are long; the other half is left for news that come late.
 void recordDeparture(const replica_table &replicaTable, replica_state &replica, Core::time_point learnedAt);
 
-/// Records that an answer of the replica says that it shuts down. Returns whether that is new.
+/// Records that an answer of the replica says that it shuts down. It may have left at any time since the latest answer
+/// without that. Returns whether it is new.
 [[nodiscard]] bool recordShutdownNotice(const replica_table &replicaTable, replica_state &replica,
                                         Core::time_point now);
 
@@ -30,6 +31,12 @@
 [[nodiscard]] bool recordRetryAfter(const replica_table &replicaTable, replica_state &replica, Core::duration period,
                                     Core::time_point now);
 
+/// Remembers what a replica that is being removed has asked for.
+void rememberNotices(replica_table &replicaTable, const replica_state &replica);
+
+/// Applies what the same start of the replica had asked for before it was removed.
+void restoreNotices(replica_table &replicaTable, replica_state &replica);
+
 /// Whether the replica takes requests from this daemon at `time`, as far as is known now.
 [[nodiscard]] bool acceptsRequests(const replica_state &replica, Core::time_point time);
 
--- a/Libraries/LibForward/ReplicaState.h
+++ b/Libraries/LibForward/ReplicaState.h
@@ -19,6 +19,7 @@
     bool missing = false; ///< The registration is missing; the removal is only suspected so far.
     Core::time_point missingSince;
     bool removed = false; ///< Removed; kept while requests are outstanding so that indices stay valid.
+    Core::time_point stayedAt; ///< Time of the latest answer without a sign that the replica leaves.
     bool shuttingDown = false; ///< An answer has said so, whatever the registration says.
     /// Set if the replica leaves. Until then replicas that stay are preferred; from then on it gets nothing.
     std::optional<Core::time_point> leavesAt;
--- a/Libraries/LibForward/ReplicaTable.h
+++ b/Libraries/LibForward/ReplicaTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibForward/DepartedReplica.h"
 #include "LibForward/LimitSharers.h"
 #include "LibForward/RetryLimits.h"
 #include "LibForward/ServiceState.h"
@@ -22,6 +23,7 @@
     std::map<std::string, std::string> regionsByDataCentre;
     std::vector<std::unique_ptr<service_state>> services;
     std::unordered_map<std::string, std::size_t> servicesByName;
+    std::unordered_map<std::string, departed_replica> departedReplicas; ///< By id; a limited number of them.
     std::set<std::string> evacuatedDataCentres; ///< Replicas in them receive no new requests.
     retry_limits retryLimits;
     std::size_t daemons = 1; ///< Daemons that share connections and slow-start limits, this one included.
--- a/Libraries/LibFront/ReplicaReport.cpp
+++ b/Libraries/LibFront/ReplicaReport.cpp
@@ -65,7 +65,11 @@
     const Forward::replica_table &replicaTable = environment.forward.replicaTable;
     const bool isStated =
         announcesShutdown(reply, environment.names) && Forward::recordShutdownNotice(replicaTable, replica, now);
-    const bool isInferred = closesConnection(reply) && Forward::recordClosing(replicaTable, replica);
+    const bool isClosing = closesConnection(reply);
+    const bool isInferred = isClosing && Forward::recordClosing(replicaTable, replica);
+    if (!replica.shuttingDown && !isClosing) {
+        replica.stayedAt = now;
+    }
     if (isStated || isInferred) {
         environment.log.write("replica_shutting_down",
                               {{"replica", replica.registration.id},
--- a/Tests/LibExchange/TestFeedFailover.cpp
+++ b/Tests/LibExchange/TestFeedFailover.cpp
@@ -203,3 +203,21 @@
     Exchange::recordStoreAnswer(contact);
     EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 3s));
 }
+
+/// Guards against a daemon that goes on as a source although the store has fallen silent: its watch waits and shows
+/// nothing.
+TEST(StoreContact, SilentStoreEndsTheRelayAtOnce)
+{
+    const Core::time_point start {1000s};
+    Exchange::store_contact contact;
+    Exchange::recordProbe(contact, true, start);
+    EXPECT_TRUE(Exchange::canRelayUpdates(contact, start));
+    Exchange::recordProbe(contact, false, start + 1s);
+    EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 1s));
+    Exchange::recordProbe(contact, false, start + 2s);
+    EXPECT_EQ(Exchange::unreachableFor(contact, start + 2s), 1s);
+    Exchange::recordStoreAnswer(contact);
+    EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 2s)) << "an answer that was on its way";
+    Exchange::recordProbe(contact, true, start + 3s);
+    EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 3s));
+}
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -285,6 +285,7 @@
     Forward::replica_registration draining = replicas[0].registration;
     draining.draining = true;
     Forward::applyRegistration(m_context.replicaTable, draining, learnedAt);
+    replicas[1].stayedAt = learnedAt;
     EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, replicas[1], learnedAt));
     EXPECT_EQ(choose(), "r-c") << "farther, but it stays";
     for (int sent = 0; sent < 30; ++sent) {
@@ -300,3 +301,43 @@
     m_now = learnedAt + 1500ms;
     EXPECT_EQ(choose(), "none") << "further notices do not extend the time";
 }
+
+/// Guards against requests to a replica that shuts down, or wants none, since its registration lapsed in the meantime
+/// and came back.
+TEST_F(choose_replica_test, NoticesHoldWhenTheSameStartIsRegisteredAgain)
+{
+    m_context.replicaTable.drainTime = 3s;
+    std::vector<Forward::replica_state> &replicas = m_context.replicaTable.services[0]->replicas;
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, replicas[0], m_now));
+    EXPECT_TRUE(Forward::recordRetryAfter(m_context.replicaTable, replicas[1], 10s, m_now));
+    const std::vector<Forward::replica_registration> lapsed {replicas[0].registration, replicas[1].registration};
+    for (const char *id : {"r-a", "r-b", "r-c"}) {
+        Forward::removeReplica(m_context.replicaTable, id);
+    }
+    m_now += 2s;
+    for (Forward::replica_registration again : lapsed) {
+        Forward::applyRegistration(m_context.replicaTable, again, m_now);
+    }
+    EXPECT_EQ(choose(), "none");
+    for (Forward::replica_registration again : lapsed) {
+        Forward::removeReplica(m_context.replicaTable, again.id);
+        ++again.startedAt;
+        Forward::applyRegistration(m_context.replicaTable, again, m_now);
+    }
+    EXPECT_EQ(choose(), "r-a");
+}
+
+/// Guards against a replica that is used beyond its drain time by a daemon that hears late that it leaves.
+TEST_F(choose_replica_test, NoticeCountsFromTheLatestAnswerWithoutIt)
+{
+    m_context.replicaTable.drainTime = 3s;
+    Forward::replica_state &nearest = m_context.replicaTable.services[0]->replicas[0];
+    nearest.stayedAt = m_now - 1s;
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, nearest, m_now));
+    EXPECT_TRUE(Forward::acceptsRequests(nearest, m_now + 400ms));
+    EXPECT_FALSE(Forward::acceptsRequests(nearest, m_now + 500ms));
+    Forward::replica_state &idle = m_context.replicaTable.services[0]->replicas[1];
+    idle.stayedAt = m_now - 2s;
+    EXPECT_TRUE(Forward::recordShutdownNotice(m_context.replicaTable, idle, m_now));
+    EXPECT_FALSE(Forward::acceptsRequests(idle, m_now)) << "it may have left 2 s ago";
+}
--- a/Tests/platform/Soak/Disturber.cpp
+++ b/Tests/platform/Soak/Disturber.cpp
@@ -304,6 +304,7 @@
     } else {
         m_store.remove("servers", place.id());
     }
+    place.announceLeaving();
     m_judge.noteLeaving(place.id());
     m_timers.schedule(std::chrono::steady_clock::now() + drainTime + emptyTime, [this, &place](Core::time_point) {
         m_draining = false;
--- a/Tests/platform/Soak/Replica.cpp
+++ b/Tests/platform/Soak/Replica.cpp
@@ -38,6 +38,7 @@
     m_running = 0;
     m_waiting.clear();
     m_fault = replica_fault::None;
+    m_isLeaving = false;
     setRequestLimit(0.0);
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                  .count();
@@ -66,6 +67,11 @@
     m_judge.noteRequestLimit(m_id, perSecond, std::chrono::steady_clock::now());
 }
 
+void replica::announceLeaving()
+{
+    m_isLeaving = true;
+}
+
 bool replica::isRunning() const
 {
     return m_server != nullptr;
@@ -137,18 +143,22 @@
 
 static std::string refusal(const std::string &status, const std::string &id)
 {
-    return "HTTP/1.1 " + status + " X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
 void replica::carryOut(raw_connection &peer, const request &asked)
 {
     if (!asked.target.empty() && asked.target != m_id) {
-        peer.send(refusal("421", asked.id));
+        peer.send(refusal("421 X", asked.id));
         return;
     }
     m_judge.noteArrival(asked.id, m_id, m_service, m_dataCentre, asked.method, asked.path, asked.body);
-    if (m_waiting.size() >= queueLength || m_fault == replica_fault::Full) {
-        peer.send(refusal("503", asked.id));
+    if (m_waiting.size() >= queueLength) {
+        peer.send(refusal("503 X", asked.id));
+        return;
+    }
+    if (m_fault == replica_fault::Full) {
+        peer.send(refusal("503 X\r\nRetry-After: 0.8", asked.id));
         return;
     }
     m_waiting.push_back({peer.weak_from_this(), asked});
@@ -196,7 +206,7 @@
     const std::string limit =
         m_requestLimit > 0.0 ? "\r\nServer-Limit: " + std::to_string(m_requestLimit) : std::string();
     const std::string text = std::string("HTTP/1.1 ") + (fails ? "500" : "200") + " X\r\nRequest-Id: " + asked.id
-        + "\r\nServer-Stamp: " + digest + limit
+        + "\r\nServer-Stamp: " + digest + limit + (m_isLeaving ? "\r\nServer-Leaving: 1\r\nConnection: close" : "")
         + "\r\nKeep-Alive: timeout=4\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     switch (m_fault) {
     case replica_fault::Hanging:
--- a/Tests/platform/Soak/Replica.h
+++ b/Tests/platform/Soak/Replica.h
@@ -33,6 +33,9 @@
     /// States a limit on the request rate of all daemons together from now on; 0: none.
     void setRequestLimit(double perSecond);
 
+    /// Says in all answers, until it starts anew, that it leaves.
+    void announceLeaving();
+
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] const std::string &id() const;
     [[nodiscard]] const std::string &service() const;
@@ -76,6 +79,7 @@
     std::uint64_t m_start = 0; ///< Counts the starts, so that work of an earlier one is dropped.
     replica_fault m_fault = replica_fault::None;
     double m_requestLimit = 0.0;
+    bool m_isLeaving = false;
     std::string m_lastAnswer; ///< For extra answers.
 };
 } // namespace Soak
