--- a/Tests/LibExchange/TestFeedFailover.cpp
+++ b/Tests/LibExchange/TestFeedFailover.cpp
@@ -138,6 +138,7 @@
     void startFleet()
     {
         std::vector<std::string> addresses;
+        addresses.reserve(daemons);
         for (int number = 0; number < daemons; ++number) {
             addresses.push_back(freeAddress(m_loop));
         }
@@ -177,6 +178,7 @@
     const Core::time_point changedAt = std::chrono::steady_clock::now();
     ASSERT_TRUE(runUntil([this]() { return allKnow(m_store.revision); }));
     std::vector<Core::time_point> learned;
+    learned.reserve(m_daemons.size());
     for (const feed_daemon &daemon : m_daemons) {
         learned.push_back(daemon.learnedAt());
     }
--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -315,7 +315,7 @@
         Forward::removeReplica(m_context.replicaTable, id);
     }
     m_now += 2s;
-    for (Forward::replica_registration again : lapsed) {
+    for (const Forward::replica_registration &again : lapsed) {
         Forward::applyRegistration(m_context.replicaTable, again, m_now);
     }
     EXPECT_EQ(choose(), "none");
