--- a/Tests/LibForward/TestChooseReplica.cpp
+++ b/Tests/LibForward/TestChooseReplica.cpp
@@ -327,7 +327,7 @@
     EXPECT_EQ(choose(), "r-a");
 }
 
-/// Guards against a replica that is used beyond its drain time by a daemon that hears late that it leaves.
+/// Guards against a replica that is used beyond its drain time by a daemon that learns late that it leaves.
 TEST_F(choose_replica_test, NoticeCountsFromTheLatestAnswerWithoutIt)
 {
     m_context.replicaTable.drainTime = 3s;
