review: Show that followers of a frozen daemon miss a removed replica

Seen: a daemon that reads changes from a frozen one keeps sending to a replica whose entry is gone; the lag that makes it change its source does not count removals.

The replicas' stand-in now skips waiting requests that were cancelled at the end of a run.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -225,6 +225,11 @@
         self.report()
         self.drained_at = time.monotonic()
 
+    def leave_unannounced(self):
+        """The entry is removed; the replica serves on for a while."""
+        self.rig.store.delete("servers", self.id)
+        self.drained_at = time.monotonic()
+
     def end(self):
         self.server.close()
         for writer in list(self.writers):
@@ -243,10 +248,12 @@
         return True
 
     def free_slot(self):
-        if self.waiting:
-            self.waiting.pop(0).set_result(None)
-        else:
-            self.running -= 1
+        while self.waiting:
+            turn = self.waiting.pop(0)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -283,8 +290,7 @@
         arrived = time.monotonic()
         if self.drained_at is not None and arrived > self.drained_at + BOUNDS["drain-ms"] / 1000:
             self.late += 1
-            record.write(f"{self.id} ({self.service}): {request_id} reached it "
-                         f"{(arrived - self.drained_at) * 1000:.0f} ms after its draining was confirmed")
+            self.rig.judge_arrival(self, request_id, arrived - self.drained_at)
         if not await self.take_slot():
             record.write(f"{self.id} ({self.service}): 503 to {request_id}, full")
             return self.reply(503, request_id, [("Not-Executed", "1")])
@@ -408,6 +414,7 @@
                 address = random.choice(self.addresses)
                 ip, port = address.split(":")
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1)
+            self.rig.taken_by[request_id] = address
             writer.write(message(f"{method} {target} HTTP/1.1", fields, body))
 
             async def receive():
@@ -471,7 +478,7 @@
         for number in range(daemons_per_zone * len(ZONES)):
             self.daemons.append(Daemon(self, number + 1, list(ZONES)[number % len(ZONES)]))
         self.replicas, self.requesters = [], [Requester(self, zone) for zone in ZONES]
-        self.requests, self.runs, self.statuses = {}, {}, {}
+        self.requests, self.runs, self.statuses, self.taken_by = {}, {}, {}, {}
         self.tasks = []
 
     # What a case may override.
@@ -483,6 +490,10 @@
         """The status with which the replica fails a request that it has run; None if it succeeds."""
         return None
 
+    def judge_arrival(self, replica, request_id, age):
+        """A request reached a replica `age` seconds, more than drain-ms, after it was draining or gone."""
+        self.record.write(f"DRAIN: {request_id} reached {replica.id} {age * 1000:.0f} ms after the confirmation")
+
     # What is noted.
     def sent(self, request_id, method, target, body):
         self.requests[request_id] = (method, target, time.monotonic())
