LibForward, LibFront: Carry a request only once on a connection to a replica

Cause: a response was matched to an attempt by the request's id, which all attempts of the request share. A full replica refused attempt one, was asked again on the same connection and ran attempt two, but sent a late copy of the refusal first. The copy has the right id, so attempt two counted as refused while it ran.

Ruled out: a broken connection taken for a refusal (none broke), callers that share an id (each id was sent once).

So no copy of an earlier response can fit a later attempt, whatever its status, and the same holds for callers that repeat a request under its id (MIXED). If all idle connections have carried it, a new one takes the place of one of them within the limit.

The soak's replicas that send extra responses refuse some requests and send the refusal once more later.

--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -78,6 +78,9 @@
     addCounter(text, "retries_total", "Attempts after one that failed.", counters.retries);
     addCounter(text, "replica_connections_total", "Connections opened to replicas.",
                environment.connections.openedCount());
+    addCounter(text, "connections_passed_over_total",
+               "Idle connections to replicas not used, since they had carried the request before.",
+               environment.connections.passedOverCount());
     addGauge(text, "configuration_version", "The version in force; 0 if none is known.",
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
     addGauge(text, "daemons", "Live daemons that share limits, this one included.",
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -90,6 +90,7 @@
 void replica_connection::send(replica_exchange exchange, Core::time_point now)
 {
     m_exchange = std::move(exchange);
+    Forward::recordCarried(m_carried, m_exchange->requestId);
     m_lastUsed = now;
     m_requestSent = false;
     m_skippedResponses = 0;
@@ -296,6 +297,11 @@
         && (!needsFreshConnection || now - m_lastUsed < maximumFreshIdleTime);
 }
 
+bool replica_connection::mayCarry(const std::string &requestId) const
+{
+    return Forward::mayCarry(m_carried, requestId);
+}
+
 std::uint64_t replica_connection::ticket() const
 {
     return m_exchange ? m_exchange->ticket : 0;
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibForward/CarriedRequests.h"
 #include "LibFront/ReplicaExchange.h"
 #include "LibFront/TimerQueue.h"
 
@@ -37,6 +38,8 @@
     [[nodiscard]] bool isIdle() const;
     /// Returns whether the connection is idle and may be reused for a request.
     [[nodiscard]] bool isUsable(bool needsFreshConnection, Core::time_point now) const;
+    /// Returns whether the response to the request can be told from late copies of earlier responses on the connection.
+    [[nodiscard]] bool mayCarry(const std::string &requestId) const;
     [[nodiscard]] std::uint64_t ticket() const;
     /// Closes the connection as soon as it is idle.
     void closeAfterExchange();
@@ -65,6 +68,7 @@
     std::optional<reply_parser> m_parser;
     std::optional<replica_exchange> m_exchange;
     std::string m_requestText; ///< The request that is being sent.
+    Forward::carried_requests m_carried;
     Core::time_point m_reusableUntil =
         Core::time_point::max(); ///< After this the replica may close an idle connection.
     Core::time_point m_lastUsed;
--- a/Libraries/LibFront/ReplicaConnections.cpp
+++ b/Libraries/LibFront/ReplicaConnections.cpp
@@ -39,11 +39,22 @@
     std::erase_if(endpoint.connections, [](const auto &connection) { return !connection->isOpen(); });
 }
 
+bool replica_connections::isUsableFor(const replica_exchange &exchange, const replica_connection &connection,
+                                      Core::time_point now)
+{
+    if (!connection.isUsable(exchange.needsFreshConnection, now)) {
+        return false;
+    }
+    const bool mayCarry = connection.mayCarry(exchange.requestId);
+    m_passedOverCount += mayCarry ? 0 : 1;
+    return mayCarry;
+}
+
 bool replica_connections::sendOnIdleConnection(replica_endpoint &endpoint, Core::time_point now)
 {
     // Prefer the newest connection, usually the most recently used: the replica is the least likely to close it.
     for (auto connection = endpoint.connections.rbegin(); connection != endpoint.connections.rend(); ++connection) {
-        if ((*connection)->isUsable(endpoint.waiting.front().needsFreshConnection, now)) {
+        if (isUsableFor(endpoint.waiting.front(), **connection, now)) {
             replica_exchange exchange = std::move(endpoint.waiting.front());
             endpoint.waiting.pop_front();
             (*connection)->send(std::move(exchange), now);
@@ -76,7 +87,7 @@
             continue;
         }
         if (endpoint.connections.size() >= endpoint.maximumConnections) {
-            // Replace an idle connection that is no longer usable by a new one.
+            // Replace an idle connection that cannot be used for the request by a new one.
             const auto unusable = std::find_if(endpoint.connections.begin(), endpoint.connections.end(),
                                                [](const auto &connection) { return connection->isIdle(); });
             if (unusable == endpoint.connections.end()) {
@@ -146,4 +157,9 @@
 {
     return m_openedCount;
 }
+
+std::uint64_t replica_connections::passedOverCount() const
+{
+    return m_passedOverCount;
+}
 } // namespace Front
--- a/Libraries/LibFront/ReplicaConnections.h
+++ b/Libraries/LibFront/ReplicaConnections.h
@@ -34,11 +34,15 @@
     void closeIdleBeyond(std::size_t maximumConnections);
 
     [[nodiscard]] std::uint64_t openedCount() const;
+    /// Returns how often an idle connection was passed over because it had carried the request before.
+    [[nodiscard]] std::uint64_t passedOverCount() const;
 
 private:
     void dispatch(const Forward::replica_key &key);
     bool sendOnIdleConnection(replica_endpoint &endpoint, Core::time_point now);
     void openConnection(const Forward::replica_key &key, replica_endpoint &endpoint, Core::time_point now);
+    [[nodiscard]] bool isUsableFor(const replica_exchange &exchange, const replica_connection &connection,
+                                   Core::time_point now);
     static void pruneClosed(replica_endpoint &endpoint);
 
     boost::asio::io_context &m_loop;
@@ -47,5 +51,6 @@
     std::map<Forward::replica_key, replica_endpoint> m_endpoints;
     std::uint64_t m_nextTicket = 1;
     std::uint64_t m_openedCount = 0;
+    std::uint64_t m_passedOverCount = 0;
 };
 } // namespace Front
--- a/Tests/platform/Soak/Replica.cpp
+++ b/Tests/platform/Soak/Replica.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <random>
 #include <sstream>
+#include <utility>
 
 namespace Soak
 {
@@ -17,6 +18,7 @@
 static constexpr int slowFactor = 20;
 static constexpr std::size_t recordsInPart = 3;
 static constexpr std::size_t recordSize = 16;
+static constexpr unsigned refusedShare = 4; ///< A replica that sends extra responses refuses every fourth request.
 
 replica::replica(boost::asio::io_context &loop, Front::timer_queue &timers, judge &rules, std::string id,
                  std::string service, std::string dataCentre, std::uint64_t seed)
@@ -37,6 +39,7 @@
     ++m_start;
     m_running = 0;
     m_waiting.clear();
+    m_lateCopies.clear();
     m_fault = replica_fault::None;
     m_isLeaving = false;
     setRequestLimit(0.0);
@@ -161,6 +164,11 @@
         peer.send(refusal("503 X\r\nRetry-After: 0.8", asked.id));
         return;
     }
+    if (m_fault == replica_fault::Extra && ++m_arrivals % refusedShare == 0) {
+        m_lateCopies[&peer] = refusal("503 X", asked.id);
+        peer.send(m_lateCopies[&peer]);
+        return;
+    }
     m_waiting.push_back({peer.weak_from_this(), asked});
     runWaiting();
 }
@@ -219,7 +227,7 @@
         peer.reset();
         return;
     case replica_fault::Extra:
-        peer.send(text + m_lastAnswer);
+        peer.send(std::exchange(m_lateCopies[&peer], {}) + text + m_lastAnswer);
         break;
     case replica_fault::None:
     case replica_fault::Slow:
--- a/Tests/platform/Soak/Replica.h
+++ b/Tests/platform/Soak/Replica.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -81,5 +82,7 @@
     double m_requestLimit = 0.0;
     bool m_isLeaving = false;
     std::string m_lastAnswer; ///< For extra answers.
+    unsigned m_arrivals = 0; ///< While it sends extra answers.
+    std::map<const raw_connection *, std::string> m_lateCopies; ///< Sent before the next answer on the connection.
 };
 } // namespace Soak
