LibFront: End a withdrawn request only after its submission

What callers could see: a daemon that ends by itself, with all requests on its connections (FAULT, LOST).

Cause: a request whose deadline had passed was ended from within replica_connections::submit. Its task erased the attempt on that result, and then wrote the ticket that submit returned into the erased entry. Besides, each withdrawal handed the connection to the next waiting request from within, so that a long queue of withdrawn requests, as after a pause of a replica or a suspended VM, used up the stack.

Change: the result of a withdrawn request is delivered by the event loop. Until then its connection is busy; bytes that arrive meanwhile, or before the first byte of a request, are no response to it, and a loss of the connection then counts as not sent, which is true.

Tests: WithdrawnRequestEndsAfterItsSubmission and WithdrawsManyWaitingRequests (50,000 requests) of replica_connections_test.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -1,5 +1,6 @@
 #include "LibFront/ReplicaConnection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 
@@ -90,8 +91,8 @@
 void replica_connection::send(replica_exchange exchange, Core::time_point now)
 {
     m_exchange = std::move(exchange);
-    Forward::recordCarried(m_carried, m_exchange->requestId);
     m_lastUsed = now;
+    m_requestText.clear();
     m_requestSent = false;
     m_skippedResponses = 0;
     startParser();
@@ -113,11 +114,15 @@
 {
     std::optional<std::string> text = m_exchange->makeText(std::chrono::steady_clock::now());
     if (!text) {
-        exchange_result result;
-        result.failure = Forward::attempt_failure::Withdrawn;
-        finish(std::move(result));
+        // The sender must not get the result before send() has returned to it.
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), ticket = m_exchange->ticket]() {
+            if (self->m_exchange && self->m_exchange->ticket == ticket) {
+                self->withdraw();
+            }
+        });
         return;
     }
+    Forward::recordCarried(m_carried, m_exchange->requestId);
     m_requestText = std::move(*text);
     boost::asio::async_write(
         m_socket, boost::asio::buffer(m_requestText),
@@ -129,6 +134,13 @@
         });
 }
 
+void replica_connection::withdraw()
+{
+    exchange_result result;
+    result.failure = Forward::attempt_failure::Withdrawn;
+    finish(std::move(result));
+}
+
 void replica_connection::read()
 {
     m_socket.async_read_some(boost::asio::buffer(m_chunk),
@@ -153,7 +165,7 @@
                 return;
             }
         }
-        fail(Forward::attempt_failure::ConnectionLost);
+        fail(m_requestText.empty() ? Forward::attempt_failure::NotSent : Forward::attempt_failure::ConnectionLost);
         return;
     }
     if (!m_exchange) {
@@ -162,6 +174,11 @@
         m_onStateChange();
         return;
     }
+    if (m_requestText.empty()) {
+        // Nothing was sent yet, so that this is no response to the request.
+        fail(Forward::attempt_failure::NotSent);
+        return;
+    }
     m_input.append(m_chunk.data(), size);
     parse();
     if (!m_closed) {
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -49,6 +49,8 @@
 
     void onConnected(const boost::system::error_code &error);
     void write();
+    /// Ends the exchange without having sent it.
+    void withdraw();
     void read();
     void onRead(const boost::system::error_code &error, std::size_t size);
     void startParser();
@@ -67,7 +69,7 @@
     std::string m_input;
     std::optional<reply_parser> m_parser;
     std::optional<replica_exchange> m_exchange;
-    std::string m_requestText; ///< The request that is being sent.
+    std::string m_requestText; ///< The request that is being sent; empty before its first byte is sent.
     Forward::carried_requests m_carried;
     Core::time_point m_reusableUntil =
         Core::time_point::max(); ///< After this the replica may close an idle connection.
--- a/Libraries/LibFront/ReplicaConnections.h
+++ b/Libraries/LibFront/ReplicaConnections.h
@@ -19,7 +19,8 @@
 public:
     replica_connections(boost::asio::io_context &loop, timer_queue &timers, std::string requestIdField);
 
-    /// Sends a request over an idle or new connection, or queues it until one is available. Returns its ticket.
+    /// Sends a request over an idle or new connection, or queues it until one is available. Returns its ticket. The
+    /// request's callback is called later, never from within this function.
     std::uint64_t submit(const Forward::replica_key &key, const std::string &address, std::size_t maximumConnections,
                          replica_exchange exchange);
     /// Cancels an exchange without calling its callback. Closes the connection that it uses.
--- a/Tests/LibFront/TestReplicaConnections.cpp
+++ b/Tests/LibFront/TestReplicaConnections.cpp
@@ -15,6 +15,24 @@
 class replica_connections_test : public loop_fixture
 {
 protected:
+    /// Submits a request that must not be sent any more.
+    void submitWithdrawn(const raw_server &server)
+    {
+        Front::replica_exchange exchange;
+        exchange.requestId = "withdrawn";
+        exchange.makeText = [](Core::time_point) {
+            return std::optional<std::string>();
+        };
+        exchange.onComplete = [this](const Front::exchange_result &result) {
+            EXPECT_FALSE(m_isSubmitting);
+            EXPECT_EQ(result.failure, Forward::attempt_failure::Withdrawn);
+            ++m_completed;
+        };
+        m_isSubmitting = true;
+        m_connections.submit({0, 0}, "127.0.0.1:" + std::to_string(server.address().port()), 1, std::move(exchange));
+        m_isSubmitting = false;
+    }
+
     void submit(const raw_server &server, const std::string &requestId)
     {
         Front::replica_exchange exchange;
@@ -38,6 +56,7 @@
 
     Front::replica_connections m_connections {m_loop, m_timers, "Request-Id"};
     int m_completed = 0;
+    bool m_isSubmitting = false;
     std::vector<unsigned> m_statuses; ///< Of the responses, in the order in which they came; 0: none came.
 };
 
@@ -137,3 +156,33 @@
     ASSERT_TRUE(runUntil([&]() { return m_completed == 5; }));
     EXPECT_EQ(m_connections.openedCount(), 4U);
 }
+
+/// The deadline has passed when an idle connection could carry the request. The result came before the ticket, and the
+/// request's task wrote the ticket into an entry that it had erased on the result.
+TEST_F(replica_connections_test, WithdrawnRequestEndsAfterItsSubmission)
+{
+    raw_server server(m_loop, [](raw_connection &peer) { peer.send(responseTo(peer, "200 OK")); });
+    submit(server, "one");
+    ASSERT_TRUE(runUntil([&]() { return m_completed == 1; }));
+    submitWithdrawn(server);
+    EXPECT_EQ(m_completed, 1);
+    EXPECT_TRUE(runUntil([&]() { return m_completed == 2; }));
+    submit(server, "two");
+    EXPECT_TRUE(runUntil([&]() { return m_completed == 3; }));
+    EXPECT_EQ(m_connections.openedCount(), 1U);
+}
+
+/// Many requests wait for a replica that pauses, and all are withdrawn when it answers. Each withdrawal ran within the
+/// one before, until the stack was used up.
+TEST_F(replica_connections_test, WithdrawsManyWaitingRequests)
+{
+    constexpr int count = 50'000;
+    raw_server server(m_loop, [](raw_connection &) {});
+    submit(server, "one");
+    ASSERT_TRUE(runUntil([&]() { return openOn(server) == 1; }));
+    for (int request = 0; request < count; ++request) {
+        submitWithdrawn(server);
+    }
+    server.connections.front()->send("HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(runUntil([&]() { return m_completed == count + 1; }));
+}
