--- a/Tests/LibFront/TestReplicaConnections.cpp
+++ b/Tests/LibFront/TestReplicaConnections.cpp
@@ -19,7 +19,7 @@
     void submitWithdrawn(const raw_server &server)
     {
         Front::replica_exchange exchange;
-        exchange.requestId = "withdrawn";
+        exchange.requestId = "withdrawn-" + std::to_string(m_withdrawn++);
         exchange.makeText = [](Core::time_point) {
             return std::optional<std::string>();
         };
@@ -56,6 +56,7 @@
 
     Front::replica_connections m_connections {m_loop, m_timers, "Request-Id"};
     int m_completed = 0;
+    int m_withdrawn = 0;
     bool m_isSubmitting = false;
     std::vector<unsigned> m_statuses; ///< Of the responses, in the order in which they came; 0: none came.
 };
