platform: Hold signals until their handlers are installed

What users saw: processes that end by themselves (FAULT).

Cause: the handlers were installed at the end of the start, after the settings were read; and before main() the dynamic linker works for some two milliseconds.

Change: the signals are blocked first and released once the handlers are installed.

Tests: ReloadSignalBeforeHandlersAreInstalledDoesNotEndTheProcess and StopSignalBeforeHandlersAreInstalledStopsTheDaemonAsPlanned (daemon_start_test). The daemon waits for its settings when the signal comes. Before the change it was ended by signals 1 and 15.

--- a/Tests/platform/DaemonProcess.cpp
+++ b/Tests/platform/DaemonProcess.cpp
@@ -12,10 +12,11 @@
 #include <netinet/in.h>
 #include <spawn.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-daemon_process::daemon_process(const std::string &settings, const std::string &outputPath)
+daemon_process::daemon_process(const std::string &settings, const std::string &outputPath, settings_delivery delivery)
 {
     char path[] = "/tmp/ragwortcrank-settings-XXXXXX";
     const int file = mkstemp(path);
@@ -24,7 +25,11 @@
     }
     close(file);
     m_settingsPath = path;
-    std::ofstream(m_settingsPath) << settings;
+    if (delivery == settings_delivery::AtStart) {
+        std::ofstream(m_settingsPath) << settings;
+    } else if (unlink(path) != 0 || mkfifo(path, S_IRUSR | S_IWUSR) != 0) {
+        throw std::runtime_error("cannot create a pipe for the settings");
+    }
     std::string variable = "RAGWORTCRANK_BOOT=" + m_settingsPath;
     std::string program = DAEMON_PROGRAM;
     char *arguments[] = {program.data(), nullptr};
@@ -47,6 +52,35 @@
         waitpid(m_process, nullptr, 0);
     }
     std::remove(m_settingsPath.c_str());
+    if (m_settingsPipe >= 0) {
+        close(m_settingsPipe);
+    }
+}
+
+bool daemon_process::isReadingSettings()
+{
+    constexpr std::chrono::seconds patience {10};
+    const auto end = std::chrono::steady_clock::now() + patience;
+    // The pipe can be opened for writing as soon as the daemon opens it for reading.
+    while (m_settingsPipe < 0 && std::chrono::steady_clock::now() < end) {
+        m_settingsPipe = open(m_settingsPath.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    }
+    return m_settingsPipe >= 0;
+}
+
+void daemon_process::deliverSettings(const std::string &settings)
+{
+    // The daemon reads the settings again later, then from a file.
+    std::remove(m_settingsPath.c_str());
+    rewriteSettings(settings);
+    if (exitStatus()) {
+        throw std::runtime_error("the daemon has ended before it could read its settings");
+    }
+    if (write(m_settingsPipe, settings.data(), settings.size()) != static_cast<ssize_t>(settings.size())) {
+        throw std::runtime_error("cannot deliver the settings");
+    }
+    close(m_settingsPipe);
+    m_settingsPipe = -1;
 }
 
 void daemon_process::signal(int number) const
