LibFront, LibExchange, platform: Wait for an address that is in use at the start

A daemon whose address is in use for a moment exited with status 1 ("bind: Address already in use"). The address may be held by a predecessor that finishes its requests, by a second start, or by an outgoing connection that was given the port as its local one.

Cause: each listener, and the socket for the datagrams between daemons, was bound once.

The red entry of daemon_test.KeepsToTheRequestLimitThatAReplicaStates (not ready after 10 s) may have been of this kind, since the test's ports are of the range that outgoing connections get; that is not shown, so the entry stays.

--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -45,19 +45,46 @@
     , m_onChange(std::move(onChange))
     , m_onRound(std::move(onRound))
     , m_socket(loop)
+    , m_binder(timers)
     , m_random(m_table.self.incarnation)
 {
     m_settings.roundsPerRemoteMessage = roundsPerRemoteMessage;
 }
 
-void peer_exchange::start()
+void peer_exchange::start(Core::duration patience, Front::address_binder::end_function onBound)
 {
-    const Front::endpoint local = Front::parseEndpoint(m_table.self.peerAddress).value();
-    m_socket.open(udp::v4());
-    m_socket.bind({local.address, local.port});
-    m_suspendedTotal = suspendedTotal();
-    receive();
-    runRound(std::chrono::steady_clock::now());
+    m_binder.start(
+        patience, [this]() { return openSocket(); },
+        [this, onBound = std::move(onBound)](const boost::system::error_code &error) {
+            m_isBound = !error;
+            if (m_isBound) {
+                m_suspendedTotal = suspendedTotal();
+                receive();
+                runRound(std::chrono::steady_clock::now());
+            }
+            onBound(error);
+        });
+}
+
+boost::system::error_code peer_exchange::openSocket()
+{
+    const std::optional<Front::endpoint> local = Front::parseEndpoint(m_table.self.peerAddress);
+    if (!local) {
+        return boost::asio::error::invalid_argument;
+    }
+    boost::system::error_code ignored; // A socket that is not open yet cannot be closed.
+    m_socket.close(ignored);
+    boost::system::error_code error;
+    m_socket.open(udp::v4(), error);
+    if (!error) {
+        m_socket.bind({local->address, local->port}, error);
+    }
+    return error;
+}
+
+bool peer_exchange::isBound() const
+{
+    return m_isBound;
 }
 
 void peer_exchange::setActiveSet(std::size_t minimumActiveMembers,
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/RandomEngine.h"
 #include "LibCore/Time.h"
+#include "LibFront/AddressBinder.h"
 #include "LibFront/TimerQueue.h"
 #include "LibMembership/KeyedBlob.h"
 #include "LibMembership/MemberTable.h"
@@ -52,8 +53,10 @@
     /// Sets how many members of each data centre are active at least. `topology` must outlive this object.
     void setActiveSet(std::size_t minimumActiveMembers, const Configuration::configuration_document &topology);
 
-    /// Binds the socket and runs the first round. Throws boost::system::system_error if the port cannot be bound.
-    void start();
+    /// Binds the socket, as soon as the port is free, and runs the first round. `onBound` is called once, with the error
+    /// if the socket cannot be bound within `patience`.
+    void start(Core::duration patience, Front::address_binder::end_function onBound);
+    [[nodiscard]] bool isBound() const;
     /// Announces to all live members that this daemon leaves.
     void leave();
     /// Sends a blob to all live members at once.
@@ -72,6 +75,7 @@
     [[nodiscard]] const Membership::membership_settings &settings() const;
 
 private:
+    [[nodiscard]] boost::system::error_code openSocket();
     void runRound(Core::time_point now);
     void sendHeartbeats(Core::time_point now);
     void receive();
@@ -94,11 +98,13 @@
     produce_function m_produceBlobs;
     merge_function m_mergeBlob;
     boost::asio::ip::udp::socket m_socket;
+    Front::address_binder m_binder;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer {}; ///< Large enough for any datagram.
     Core::random_engine m_random;
     std::string m_liveFleet; ///< Names of the members that serve callers, as of the latest change.
     std::size_t m_liveFingerprint = 0; ///< Of the members that serve callers, to detect changes.
+    bool m_isBound = false;
     bool m_isActive = false;
     bool m_isHeartbeatScheduled = false;
     Core::time_point m_announcedAt;
--- a/Libraries/LibFront/HttpServer.cpp
+++ b/Libraries/LibFront/HttpServer.cpp
@@ -27,14 +27,46 @@
 http_server::http_server(boost::asio::io_context &loop, timer_queue &timers, const std::string &address,
                          exchange_handler handler, std::function<Forward::caller_limits()> limits)
     : m_acceptor(loop)
+    , m_address(listenEndpoint(address))
+    , m_binder(timers)
     , m_state {timers, std::move(handler), std::move(limits), {}, false}
 {
-    const tcp::endpoint local = listenEndpoint(address);
-    m_acceptor.open(local.protocol());
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(local);
-    m_acceptor.listen(backlog);
-    accept();
+}
+
+void http_server::listen(Core::duration patience, address_binder::end_function onEnd)
+{
+    m_binder.start(
+        patience, [this]() { return openAcceptor(); },
+        [this, onEnd = std::move(onEnd)](const boost::system::error_code &error) {
+            m_listening = !error;
+            if (m_listening) {
+                accept();
+            }
+            onEnd(error);
+        });
+}
+
+boost::system::error_code http_server::openAcceptor()
+{
+    boost::system::error_code ignored; // An acceptor that is not open yet cannot be closed.
+    m_acceptor.close(ignored);
+    boost::system::error_code error;
+    m_acceptor.open(m_address.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(m_address, error);
+    }
+    if (!error) {
+        m_acceptor.listen(backlog, error);
+    }
+    return error;
+}
+
+bool http_server::isListening() const
+{
+    return m_listening;
 }
 
 void http_server::accept()
@@ -60,6 +92,7 @@
 
 void http_server::stopAccepting()
 {
+    m_binder.stop();
     boost::system::error_code ignored; // The process is about to exit.
     m_acceptor.close(ignored);
     for (const auto &connection : openConnections()) {
--- a/Tests/LibExchange/TestFeedFailover.cpp
+++ b/Tests/LibExchange/TestFeedFailover.cpp
@@ -59,8 +59,12 @@
                 return m_feed->server().handle(request, reply);
             },
             []() { return Forward::caller_limits {}; });
+        const auto expectBound = [](const boost::system::error_code &error) {
+            EXPECT_FALSE(error);
+        };
+        m_server->listen(0ms, expectBound);
         m_exchange.setActiveSet(3, m_topology);
-        m_exchange.start();
+        m_exchange.start(0ms, expectBound);
         askStore();
     }
 
--- a/Tests/LibFront/TestCallerConnection.cpp
+++ b/Tests/LibFront/TestCallerConnection.cpp
@@ -35,6 +35,7 @@
         probe.close();
         m_server = std::make_unique<Front::http_server>(
             m_loop, m_timers, "127.0.0.1:" + std::to_string(m_address.port()), handler, [this]() { return m_limits; });
+        m_server->listen(0ms, [](const boost::system::error_code &error) { ASSERT_FALSE(error); });
         m_caller = connect();
     }
 
