platform, LibFront, LibExchange: Keep serving when a handler throws

What users could see: a process that ends by itself, with all requests on its connections (FAULT, LOST). main() held the only catch, so that any exception that left a handler of the event loop ended the daemon.

Cause found by reading: RolloutControl read the revision of another writer's object by at() and as_object(); an order without it ended the daemon that writes its state. Others of the kind were looked for: FeedServer's at() follows a check of its kinds, Gossip's follow a look-up, and no VERIFY can be reached by input (pickService needs a service, which DecodeConfiguration demands).

Test: timer_queue_test.RunsLaterTasksAfterOneHasThrown; before, no timer ran after a task had thrown.

--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -265,17 +265,21 @@
                                         return;
                                     }
                                     // Other errors report that an earlier datagram could not be delivered.
-                                    if (!error) {
-                                        onDatagram({m_buffer.data(), size});
+                                    if (error) {
+                                        receive();
+                                        return;
                                     }
+                                    const std::string bytes(m_buffer.data(), size);
+                                    const std::string sender = m_sender.address().to_string() + ":"
+                                        + std::to_string(m_sender.port());
                                     receive();
+                                    onDatagram(bytes, sender);
                                 });
 }
 
-void peer_exchange::onDatagram(std::string_view bytes)
+void peer_exchange::onDatagram(std::string_view bytes, const std::string &sender)
 {
     const std::optional<datagram> received = decodeDatagram(bytes);
-    const std::string sender = m_sender.address().to_string() + ":" + std::to_string(m_sender.port());
     if (!received) {
         m_log.write("datagram_unreadable", {{"from", sender}, {"bytes", bytes.size()}});
         return;
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -79,7 +79,7 @@
     void runRound(Core::time_point now);
     void sendHeartbeats(Core::time_point now);
     void receive();
-    void onDatagram(std::string_view bytes);
+    void onDatagram(std::string_view bytes, const std::string &sender);
     void addBlobs(Membership::gossip_message &message);
     void sendTo(const std::string &address, datagram_kind kind, const Membership::gossip_message &message);
     void sendToAll(datagram_kind kind, const Membership::gossip_message &message);
--- a/Libraries/LibFront/HttpServer.cpp
+++ b/Libraries/LibFront/HttpServer.cpp
@@ -80,8 +80,8 @@
                                     [this](Core::time_point) { accept(); });
             return;
         }
-        std::make_shared<caller_connection>(std::move(socket), m_state)->start();
         accept();
+        std::make_shared<caller_connection>(std::move(socket), m_state)->start();
     });
 }
 
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -81,6 +81,7 @@
     addCounter(text, "connections_passed_over_total",
                "Idle connections to replicas not used, since they had carried the request before.",
                environment.connections.passedOverCount());
+    addCounter(text, "failed_handlers_total", "Event handlers that ended with an exception.", counters.failedHandlers);
     addGauge(text, "configuration_version", "The version in force; 0 if none is known.",
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
     addGauge(text, "daemons", "Live daemons that share limits, this one included.",
--- a/Libraries/LibFront/TimerQueue.cpp
+++ b/Libraries/LibFront/TimerQueue.cpp
@@ -35,6 +35,12 @@
     return mean;
 }
 
+void timer_queue::rearm()
+{
+    m_armedFor = Core::time_point::max();
+    arm();
+}
+
 void timer_queue::arm()
 {
     if (m_tasks.empty()) {
@@ -58,9 +64,13 @@
         m_totalDelay += now - m_tasks.begin()->first;
         ++m_delayCount;
         m_tasks.erase(m_tasks.begin());
-        callback(now);
+        try {
+            callback(now);
+        } catch (...) {
+            rearm();
+            throw;
+        }
     }
-    m_armedFor = Core::time_point::max();
-    arm();
+    rearm();
 }
 } // namespace Front
--- a/Libraries/LibFront/TimerQueue.h
+++ b/Libraries/LibFront/TimerQueue.h
@@ -31,6 +31,7 @@
 
 private:
     void arm();
+    void rearm();
     void runDueTasks();
 
     boost::asio::steady_timer m_timer;
