--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 /// Time types shared by all libraries. Libraries that make decisions receive times as arguments and never read a clock.
 namespace Core
@@ -28,9 +29,14 @@
     return std::chrono::duration<double>(value).count();
 }
 
-/// Converts floating-point seconds to a duration.
+/// Converts floating-point seconds to a duration. More than a century, in either direction, becomes a century, and not a
+/// number becomes zero, so that the result can be added to any time point.
 [[nodiscard]] constexpr duration fromSeconds(double seconds)
 {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    constexpr double century = 100.0 * 365 * 24 * 3600;
+    if (!(seconds >= -century)) {
+        return seconds < 0.0 ? duration(std::chrono::seconds(static_cast<std::int64_t>(-century))) : duration {};
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds > century ? century : seconds));
 }
 } // namespace Core
--- a/Tests/platform/TestObjectWatch.cpp
+++ b/Tests/platform/TestObjectWatch.cpp
@@ -18,7 +18,8 @@
     void SetUp() override
     {
         m_watch = std::make_unique<Platform::object_watch>(
-            m_loop, m_timers, m_log, "127.0.0.1:" + std::to_string(m_store.address().port()), "things", 1ms,
+            m_loop, m_timers, m_log, "127.0.0.1:" + std::to_string(m_store.address().port()), "things", 1000,
+            1ms,
             Platform::object_watch::callbacks {
                 [this](Exchange::feed_update update) { m_updates.push_back(std::move(update)); },
                 []() {},
@@ -166,3 +167,31 @@
     ASSERT_TRUE(callsReach(3));
     EXPECT_TRUE(m_updates.empty());
 }
+
+/// No entry of a page has a name with which to ask for the next page. The list was taken for complete, so that all objects
+/// of later pages seemed to be removed.
+TEST_F(object_watch_test, PageOfUnreadableEntriesDoesNotEndTheList)
+{
+    m_answers = {
+        {200, R"({"items": [)" + object("a", 1) + R"(], "has-more": true, "store-revision": 7})"},
+        {200, R"({"items": [7, {"meta": {}}], "has-more": true, "store-revision": 7})"},
+        {200, R"({"items": [)" + object("a", 1) + R"(], "has-more": false, "store-revision": 7})"},
+    };
+    m_watch->start();
+    ASSERT_TRUE(callsReach(4));
+    EXPECT_EQ(m_calls[2], "/api/objects/things") << "the list must be read again";
+    ASSERT_EQ(m_updates.size(), 1U);
+    EXPECT_EQ(m_updates[0].entries.size(), 1U);
+}
+
+/// The last name of a page was written into the next call as it is, which the store then could not read.
+TEST_F(object_watch_test, EncodesTheNameAfterWhichTheNextPageBegins)
+{
+    m_answers = {
+        {200, R"({"items": [)" + object("a b&c", 1) + R"(], "has-more": true, "store-revision": 7})"},
+        emptyList,
+    };
+    m_watch->start();
+    ASSERT_TRUE(callsReach(2));
+    EXPECT_EQ(m_calls[1], "/api/objects/things?after=a%20b%26c");
+}
