LibFront: Bound the lines between the chunks of a response

Cause: the parser limits headers and bodies, but not the line that begins a chunk (its extensions) nor the fields after the last chunk. While such a line goes on it takes nothing, and the connection kept all bytes until the attempt ended, for seconds.

Change: a connection whose parser has left more than 128 KiB is closed and its exchange fails, like any malformed response.

Test: replica_connection_test.FailsAndClosesOnLinesWithoutEnd, six places in a response.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -29,6 +29,9 @@
 /// A replica is unlikely to close a connection this soon after its last use.
 static constexpr Core::duration maximumFreshIdleTime = 400ms;
 static constexpr std::uint32_t maximumHeaderBytes = 64 * 1024; ///< A response with a larger header is malformed.
+/// Bytes that the parser has not taken because a line or a header goes on. It limits headers, but not the lines between
+/// chunks and after the last one.
+static constexpr std::size_t maximumUnparsedBytes = 2 * maximumHeaderBytes;
 /// Larger than any page of the store and any full copy of the change feed.
 static constexpr std::uint64_t maximumBodyBytes = 16'777'216;
 /// Interim responses and late responses to earlier requests before the expected one.
@@ -181,6 +184,9 @@
     }
     m_input.append(m_chunk.data(), size);
     parse();
+    if (m_input.size() > maximumUnparsedBytes) {
+        fail(Forward::attempt_failure::ConnectionLost);
+    }
     if (!m_closed) {
         read();
     }
--- a/Tests/LibFront/TestReplicaConnection.cpp
+++ b/Tests/LibFront/TestReplicaConnection.cpp
@@ -23,7 +23,8 @@
 }
 
 /// Sends until the peer closes the connection, but not so much that a reader without a limit exhausts the memory.
-void sendWithoutEnd(int socket)
+/// Returns how much was sent.
+std::size_t sendWithoutEnd(int socket)
 {
     constexpr std::size_t maximumBytes = 64'000'000;
     const std::string bytes(65536, 'x');
@@ -31,11 +32,12 @@
     while (sent < maximumBytes) {
         const ssize_t count = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count < 0 && errno != EAGAIN) {
-            return;
+            break;
         }
         sent += count > 0 ? static_cast<std::size_t>(count) : 0;
         std::this_thread::yield();
     }
+    return sent;
 }
 
 class replica_connection_test : public loop_fixture
@@ -73,6 +75,24 @@
         return m_result ? std::move(*m_result) : Front::exchange_result {};
     }
 
+    /// Expects that a response which begins with `start` and goes on without end fails, and soon.
+    void expectFailureAfterBytesWithoutEnd(const std::string &start)
+    {
+        std::thread sender;
+        std::size_t sent = 0;
+        raw_server server(m_loop, [&](raw_connection &peer) {
+            peer.send(start);
+            sender = std::thread([&, socket = peer.socket.native_handle()]() { sent = sendWithoutEnd(socket); });
+        });
+        EXPECT_EQ(exchangeWith(server).failure, Forward::attempt_failure::ConnectionLost) << start;
+        EXPECT_FALSE(m_connection->isOpen()) << start;
+        m_connection->close();
+        runFor(10ms); // The sender notices the close.
+        sender.join();
+        constexpr std::size_t bufferedBytes = 8'000'000; // In the sockets' buffers.
+        EXPECT_LT(sent, bufferedBytes) << start;
+    }
+
     std::shared_ptr<Front::replica_connection> m_connection;
     std::optional<Front::exchange_result> m_result;
     std::uint64_t m_ticket = 0;
@@ -239,6 +259,19 @@
     sender.join();
 }
 
+/// Bytes without end at places where the parser waits for the end of a line. They were all kept until the memory was
+/// used up.
+TEST_F(replica_connection_test, FailsAndClosesOnLinesWithoutEnd)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string start : {"", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Field: "}) {
+        expectFailureAfterBytesWithoutEnd(start);
+    }
+    for (const std::string start : {"4;extension=", "4\r\nbody\r\n0;", "0\r\nTrailer: "}) {
+        expectFailureAfterBytesWithoutEnd(chunked + start);
+    }
+}
+
 TEST_F(replica_connection_test, FailsAndClosesOnInterimResponsesWithoutEnd)
 {
     raw_server server(m_loop,
