LibForward, LibFront, platform: Bound the responses that are received at once

Here a body may take 16 MiB, and nothing bounded the sum: a gather over 90 or 225 shards whose replicas send without end, or 17 responses at once, exceed a VM's 260 MB.

Parts of a gather above 64 KiB keep only the records that can be part of the merged response. Metric: dropped_responses_total.

--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -81,6 +81,8 @@
     addCounter(text, "connections_passed_over_total",
                "Idle connections to replicas not used, since they had carried the request before.",
                environment.connections.passedOverCount());
+    addCounter(text, "dropped_responses_total", "Responses of replicas dropped because all together were too large.",
+               environment.connections.droppedResponseCount());
     addCounter(text, "failed_handlers_total", "Event handlers that ended with an exception.", counters.failedHandlers);
     addGauge(text, "configuration_version", "The version in force; 0 if none is known.",
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -46,6 +46,11 @@
 {
 }
 
+void replica_connection::setHeldBytesCallback(held_bytes_callback onHeldBytes)
+{
+    m_onHeldBytes = std::move(onHeldBytes);
+}
+
 void replica_connection::connect(const tcp::endpoint &address)
 {
     m_connectTimer = m_timers.schedule(std::chrono::steady_clock::now() + connectTimeout,
@@ -187,11 +192,21 @@
     if (m_input.size() > maximumUnparsedBytes) {
         fail(Forward::attempt_failure::ConnectionLost);
     }
+    if (m_exchange && m_parser) {
+        reportHeldBytes(m_input.size() + m_parser->get().body().size());
+    }
     if (!m_closed) {
         read();
     }
 }
 
+void replica_connection::reportHeldBytes(std::size_t bytes)
+{
+    if (m_onHeldBytes) {
+        m_onHeldBytes(bytes);
+    }
+}
+
 void replica_connection::parse()
 {
     while (m_exchange && !m_input.empty()) {
@@ -267,6 +282,7 @@
 void replica_connection::finish(exchange_result result)
 {
     const auto self = shared_from_this();
+    reportHeldBytes(0);
     const replica_exchange exchange = std::move(*std::exchange(m_exchange, std::nullopt));
     m_parser.reset();
     if (!m_reusable) {
@@ -295,6 +311,7 @@
         return;
     }
     m_closed = true;
+    reportHeldBytes(0);
     m_exchange.reset();
     m_parser.reset();
     if (m_connectTimer) {
@@ -304,6 +321,11 @@
     m_socket.close(ignored);
 }
 
+void replica_connection::abort()
+{
+    fail(Forward::attempt_failure::ConnectionLost);
+}
+
 bool replica_connection::isOpen() const
 {
     return !m_closed;
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -23,16 +23,21 @@
 public:
     /// Called after the connection has become idle or has closed.
     using state_change_callback = std::function<void()>;
+    /// Receives how many bytes of a response the connection holds; 0 when the exchange has ended.
+    using held_bytes_callback = std::function<void(std::size_t)>;
 
     replica_connection(boost::asio::io_context &loop, timer_queue &timers, std::string requestIdField,
                        state_change_callback onStateChange);
 
+    void setHeldBytesCallback(held_bytes_callback onHeldBytes);
     /// Starts to connect. The first exchange may be sent immediately; it is delayed until the connection is
     /// established.
     void connect(const boost::asio::ip::tcp::endpoint &address);
     void send(replica_exchange exchange, Core::time_point now);
     /// Closes the connection. The callback of a running exchange is not called.
     void close();
+    /// Closes the connection. A running exchange fails as if the connection had been lost.
+    void abort();
 
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] bool isIdle() const;
@@ -58,12 +63,14 @@
     void onResponseComplete();
     void finish(exchange_result result);
     void fail(Forward::attempt_failure failure);
+    void reportHeldBytes(std::size_t bytes);
     void updateIdleDeadline(const reply_message &reply);
 
     boost::asio::ip::tcp::socket m_socket;
     timer_queue &m_timers;
     std::string m_requestIdField;
     state_change_callback m_onStateChange;
+    held_bytes_callback m_onHeldBytes;
     std::optional<timer_queue::handle> m_connectTimer;
     std::array<char, 4096> m_chunk {}; ///< Large enough for most responses.
     std::string m_input;
--- a/Libraries/LibFront/ReplicaConnections.cpp
+++ b/Libraries/LibFront/ReplicaConnections.cpp
@@ -70,6 +70,8 @@
     ++m_openedCount;
     const auto connection =
         std::make_shared<replica_connection>(m_loop, m_timers, m_requestIdField, [this, key]() { dispatch(key); });
+    connection->setHeldBytesCallback([this, number = m_openedCount, weak = std::weak_ptr<replica_connection>(connection)](
+                                         std::size_t bytes) { recordHeldBytes(number, weak, bytes); });
     replica_exchange exchange = std::move(endpoint.waiting.front());
     endpoint.waiting.pop_front();
     endpoint.connections.push_back(connection);
@@ -77,6 +79,26 @@
     connection->connect(endpoint.address);
 }
 
+void replica_connections::recordHeldBytes(std::uint64_t number, const std::weak_ptr<replica_connection> &connection,
+                                          std::size_t bytes)
+{
+    if (bytes == 0) {
+        Forward::releaseResponseBytes(m_responseMemory, number);
+        m_receiving.erase(number);
+        return;
+    }
+    const std::optional<std::uint64_t> largest = Forward::recordResponseBytes(m_responseMemory, number, bytes);
+    if (m_responseMemory.bytesByConnection.contains(number)) {
+        m_receiving[number] = connection;
+    }
+    const auto receiving = largest ? m_receiving.find(*largest) : m_receiving.end();
+    const auto dropped = receiving == m_receiving.end() ? nullptr : receiving->second.lock();
+    if (dropped) {
+        ++m_droppedResponseCount;
+        dropped->abort();
+    }
+}
+
 void replica_connections::dispatch(const Forward::replica_key &key)
 {
     replica_endpoint &endpoint = m_endpoints[key];
@@ -158,6 +180,16 @@
     return m_openedCount;
 }
 
+void replica_connections::setResponseMemory(std::size_t bytes)
+{
+    m_responseMemory.limit = bytes;
+}
+
+std::uint64_t replica_connections::droppedResponseCount() const
+{
+    return m_droppedResponseCount;
+}
+
 std::uint64_t replica_connections::passedOverCount() const
 {
     return m_passedOverCount;
--- a/Libraries/LibFront/ReplicaConnections.h
+++ b/Libraries/LibFront/ReplicaConnections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibForward/ReplicaKey.h"
+#include "LibForward/ResponseMemory.h"
 #include "LibFront/ReplicaEndpoint.h"
 #include "LibFront/TimerQueue.h"
 
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace Front
@@ -37,6 +39,10 @@
     [[nodiscard]] std::uint64_t openedCount() const;
     /// Returns how often an idle connection was passed over because it had carried the request before.
     [[nodiscard]] std::uint64_t passedOverCount() const;
+    /// Sets how many bytes of responses may be held at once, of all replicas together.
+    void setResponseMemory(std::size_t bytes);
+    /// Returns how many responses were dropped because all of them together exceeded that.
+    [[nodiscard]] std::uint64_t droppedResponseCount() const;
 
 private:
     void dispatch(const Forward::replica_key &key);
@@ -44,6 +50,7 @@
     void openConnection(const Forward::replica_key &key, replica_endpoint &endpoint, Core::time_point now);
     [[nodiscard]] bool isUsableFor(const replica_exchange &exchange, const replica_connection &connection,
                                    Core::time_point now);
+    void recordHeldBytes(std::uint64_t number, const std::weak_ptr<replica_connection> &connection, std::size_t bytes);
     static void pruneClosed(replica_endpoint &endpoint);
 
     boost::asio::io_context &m_loop;
@@ -53,5 +60,8 @@
     std::uint64_t m_nextTicket = 1;
     std::uint64_t m_openedCount = 0;
     std::uint64_t m_passedOverCount = 0;
+    std::uint64_t m_droppedResponseCount = 0;
+    Forward::response_memory m_responseMemory;
+    std::map<std::uint64_t, std::weak_ptr<replica_connection>> m_receiving; ///< Connections that hold large responses.
 };
 } // namespace Front
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -27,6 +27,9 @@
 /// Time for an attempt to end by itself after the caller disconnects. Replicas stop within half a second of that.
 static constexpr Core::duration abandonedAttemptGracePeriod = 250ms;
 
+/// A part is stored whole until the response is merged, unless it is larger.
+static constexpr std::size_t largePartBytes = 64 * 1024;
+
 request_task::request_task(front_environment &environment, Forward::request_plan plan, request_message &&request,
                            Core::duration callerTimeout, reply_function reply)
     : m_environment(environment)
@@ -141,6 +144,11 @@
     if (m_request.plan.matched->isScatterGather()) {
         partialResult.digest = std::string(reply[m_environment.names.digest]);
         partialResult.records = std::move(reply.body());
+        if (partialResult.records.size() > largePartBytes) {
+            // Only the highest records can be part of the merged response.
+            const std::string_view records = partialResult.records;
+            partialResult.records = Forward::selectTopRecords({&records, 1}, m_request.plan.matched->topRecords);
+        }
     } else {
         m_singleReply = std::move(reply);
     }
--- a/Tests/LibFront/TestReplicaConnections.cpp
+++ b/Tests/LibFront/TestReplicaConnections.cpp
@@ -187,3 +187,32 @@
     server.connections.front()->send("HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 0\r\n\r\n");
     EXPECT_TRUE(runUntil([&]() { return m_completed == count + 1; }));
 }
+
+/// Several replicas send bytes without end at once. Each response is limited, but their sum used up the memory.
+TEST_F(replica_connections_test, DropsTheLargestResponsesWhenAllTogetherAreTooLarge)
+{
+    constexpr std::size_t limit = 1'000'000;
+    m_connections.setResponseMemory(limit);
+    const std::string bytes(100'000, 'x');
+    raw_server server(m_loop, [&](raw_connection &peer) {
+        if (peer.received.find("Request-Id: sound") != std::string::npos) {
+            peer.send(responseTo(peer, "200 OK"));
+            return;
+        }
+        peer.send("HTTP/1.1 200 OK\r\nRequest-Id: endless\r\nContent-Length: 16000000\r\n\r\n" + bytes);
+    });
+    submit(server, "endless-1");
+    submit(server, "endless-2");
+    ASSERT_TRUE(runUntil([&]() { return openOn(server) == 2; }));
+    const auto first = server.connections.front();
+    for (int count = 0; count < 10 && !first->ended; ++count) {
+        first->send(bytes);
+        runFor(20ms);
+    }
+    ASSERT_TRUE(runUntil([&]() { return m_completed == 1; }));
+    EXPECT_EQ(m_connections.droppedResponseCount(), 1U);
+    EXPECT_EQ(openOn(server), 1U) << "the smaller response must not be dropped";
+    submit(server, "sound");
+    ASSERT_TRUE(runUntil([&]() { return m_completed == 2; }));
+    EXPECT_EQ(m_statuses, (std::vector<unsigned> {0, 200}));
+}
