LibPlatform: Bound the body of a response

A body above 16 MiB now fails the call as a lost connection.

Test: HttpClient.FailsOnBodyWithoutEnd. Before, the client took all 200 MB that the test sends.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -26,9 +26,16 @@
     http_client::completion done;
 };
 
+/// Larger than any response of the store or of a backend server.
+constexpr std::size_t maximumBodyBytes = 16 * 1024 * 1024;
+
 std::size_t receiveBody(char *data, std::size_t size, std::size_t count, void *target)
 {
-    static_cast<transfer *>(target)->response.body.append(data, size * count);
+    std::string &body = static_cast<transfer *>(target)->response.body;
+    if (body.size() + size * count > maximumBodyBytes) {
+        return 0; // Fails the transfer.
+    }
+    body.append(data, size * count);
     return size * count;
 }
 
