--- a/Tests/platform/TestObjectWatch.cpp
+++ b/Tests/platform/TestObjectWatch.cpp
@@ -24,6 +24,7 @@
                 [this](Exchange::feed_update update) { m_updates.push_back(std::move(update)); },
                 []() {},
                 [this](bool reachable) { m_reachable = reachable; },
+                []() {},
             });
     }
 
