Tests: Use another id for the request that opens a kept connection

truncated_answers_test sent two requests with one id on a connection. Since a connection carries an id only once, the second one opened a new connection, so that the cut answers on kept connections were not tried, and the test failed. The first request now has an id of its own, and the stand-in replicas echo the id that they get; every cut is checked as before.

--- a/Tests/platform/DaemonFixture.h
+++ b/Tests/platform/DaemonFixture.h
@@ -113,14 +113,14 @@
     }
 
     /// Sends one request on a separate connection and returns the complete response; empty if there is none.
-    std::string sendRequest(int port, const std::string &request)
+    std::string sendRequest(int port, const std::string &request, const std::string &id = "id-1")
     {
         const auto caller = connect(port);
         if (!caller) {
             return {};
         }
-        caller->send(request + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline-Ms: 3000\r\n"
-                     + "Connection: close\r\n\r\n");
+        caller->send(request + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id
+                     + "\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\r\n");
         runUntil([&]() { return caller->ended; });
         return caller->received;
     }
@@ -142,8 +142,11 @@
     {
         return [=](raw_connection &peer) {
             if (peer.received.find("\r\n\r\n") != std::string::npos) {
+                const std::string field = "Request-Id: ";
+                const std::size_t begin = peer.received.find(field) + field.size();
+                const std::string id = peer.received.substr(begin, peer.received.find('\r', begin) - begin);
                 peer.received.clear();
-                peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: " + digest
+                peer.send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + digest
                           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
             }
         };
--- a/Tests/platform/TestTruncatedAnswers.cpp
+++ b/Tests/platform/TestTruncatedAnswers.cpp
@@ -50,7 +50,7 @@
         peer.received.clear();
         ++m_arrivals;
         if (m_isKept && m_answered.insert(&peer).second) {
-            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: whole\r\nContent-Length: 0\r\n\r\n");
+            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nServer-Stamp: whole\r\nContent-Length: 0\r\n\r\n");
             return;
         }
         peer.send(m_bytes);
@@ -62,7 +62,7 @@
     {
         m_answered.clear();
         if (m_isKept) {
-            sendRequest(m_front, "GET " + target);
+            sendRequest(m_front, "GET " + target, "id-0"); // A connection carries an id only once.
         }
         return sendRequest(m_front, "GET " + target);
     }
