--- a/Libraries/LibForward/ResponseMemory.cpp
+++ b/Libraries/LibForward/ResponseMemory.cpp
@@ -5,7 +5,7 @@
 namespace Forward
 {
 /// Responses up to this size are not recorded, so that the usual ones cost nothing.
-static constexpr std::size_t smallResponseBytes = 16 * 1024;
+static constexpr std::size_t smallResponseBytes = 16'384;
 
 std::optional<std::uint64_t> recordResponseBytes(response_memory &memory, std::uint64_t connection, std::size_t bytes)
 {
--- a/Libraries/LibForward/ResponseMemory.h
+++ b/Libraries/LibForward/ResponseMemory.h
@@ -10,7 +10,7 @@
 /// The memory of responses that are being received, of all replicas together. Each response has a limit of its own,
 /// which a gather over many shards could reach many times at once.
 struct response_memory {
-    std::size_t limit = 64 * 1024 * 1024; ///< In bytes.
+    std::size_t limit = 67'108'864; ///< In bytes.
     std::size_t total = 0;
     std::map<std::uint64_t, std::size_t> bytesByConnection; ///< Small responses are not recorded.
 };
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -31,7 +31,7 @@
 static constexpr std::uint32_t maximumHeaderBytes = 64 * 1024; ///< A response with a larger header is malformed.
 /// Bytes that the parser has not taken because a line or a header goes on. It limits headers, but not the lines between
 /// chunks and after the last one.
-static constexpr std::size_t maximumUnparsedBytes = 2 * maximumHeaderBytes;
+static constexpr std::size_t maximumUnparsedBytes = 131'072;
 /// Larger than any page of the store and any full copy of the change feed.
 static constexpr std::uint64_t maximumBodyBytes = 16'777'216;
 /// Interim responses and late responses to earlier requests before the expected one.
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -28,7 +28,7 @@
 static constexpr Core::duration abandonedAttemptGracePeriod = 250ms;
 
 /// A part is stored whole until the response is merged, unless it is larger.
-static constexpr std::size_t largePartBytes = 64 * 1024;
+static constexpr std::size_t largePartBytes = 65'536;
 
 request_task::request_task(front_environment &environment, Forward::request_plan plan, request_message &&request,
                            Core::duration callerTimeout, reply_function reply)
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -27,7 +27,7 @@
 };
 
 /// Larger than any response of the store or of a backend server.
-constexpr std::size_t maximumBodyBytes = 16 * 1024 * 1024;
+constexpr std::size_t maximumBodyBytes = 16'777'216;
 
 std::size_t receiveBody(char *data, std::size_t size, std::size_t count, void *target)
 {
