--- a/Tests/LibForward/TestResponseMemory.cpp
+++ b/Tests/LibForward/TestResponseMemory.cpp
@@ -40,7 +40,7 @@
     EXPECT_FALSE(closed.empty());
 }
 
-/// One response is far larger than the others: it is the one to be dropped, whoever exceeds the limit.
+/// One response is far larger than the others: it is dropped, whichever exceeds the limit.
 TEST(ResponseMemory, LargestResponseIsDropped)
 {
     Forward::response_memory memory;
--- a/Tests/platform/DaemonProcess.h
+++ b/Tests/platform/DaemonProcess.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "SettingsDelivery.h"
+
 #include <chrono>
 #include <optional>
 #include <string>
 
 #include <sys/types.h>
 
-/// When the daemon can read its settings.
-enum class settings_delivery {
-    AtStart,
-    OnRequest, ///< The daemon waits for them until `deliverSettings` is called.
-};
-
 /// Runs the daemon as a child process, which the destructor kills if it is still running.
 class daemon_process
 {
