platform, Tests: Test broken answers that are refused already

An incident reported that broken answers of a replica reached callers. These forms do not: names of fields with a blank, a tab, a control byte or a delimiter, in the head and in a trailer; status lines that are not HTTP's; interim answers with a body; lengths that contradict each other or are no decimal numbers. Each is sent by a stand-in replica to a real daemon, on new and on kept connections, with and without a close, for one replica and as a part of a gathered answer: 502 each time.

The tests of sound answers (every framing, HTTP/1.0, interim answers, every class of status) keep the following changes from refusing too much.

--- /dev/null
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -0,0 +1,147 @@
+#include "ScriptedReplicaFixture.h"
+
+#include <string>
+#include <vector>
+
+namespace
+{
+const std::string identity = "Request-Id: id-1\r\nServer-Stamp: digest-a\r\n";
+const std::string sixteenBytes = "Content-Length: 16\r\n";
+const std::string chunks = "10\r\n" + record('b') + "\r\n0\r\n";
+
+/// Returns the fields and the body of an answer with the given fields.
+std::string fieldsAndBody(const std::string &fields)
+{
+    return fields + sixteenBytes + "\r\n" + record('b');
+}
+
+/// Returns a success with the given fields.
+std::string success(const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fieldsAndBody(fields);
+}
+
+/// Returns a success whose body is sent in one chunk and followed by the given trailer fields.
+std::string successWithTrailer(const std::string &fields, const std::string &trailer)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks + trailer + "\r\n";
+}
+
+class broken_answers_test : public scripted_replica_test
+{
+protected:
+    /// Expects that the daemon answers with a failure of its own: on new and on kept connections, whether the replica
+    /// closes the connection or not, to a request to one replica and to one to several shards.
+    void expectFailure(const std::string &bytes)
+    {
+        m_bytes = bytes;
+        for (const bool endsConnection : {false, true}) {
+            for (const bool isKept : {false, true}) {
+                m_endsConnection = endsConnection;
+                m_isKept = isKept;
+                for (const std::string target : {"/s/1", "/g/1"}) {
+                    const int before = m_arrivals;
+                    const std::string received = answerTo(target);
+                    EXPECT_TRUE(received.starts_with("HTTP/1.1 502")) << bytes << "became\n" << received;
+                    EXPECT_EQ(received.find("Stamp"), std::string::npos) << bytes << "became\n" << received;
+                    EXPECT_GT(m_arrivals, before) << "the request did not reach the replica";
+                }
+            }
+        }
+    }
+
+    /// Expects that the answer is passed on with the given content. Returns what the caller of one replica received.
+    std::string expectSuccess(const std::string &bytes, const std::string &content = record('b'))
+    {
+        m_bytes = bytes;
+        std::string single;
+        for (const bool isKept : {false, true}) {
+            m_endsConnection = true;
+            m_isKept = isKept;
+            single = answerTo("/s/1");
+            EXPECT_TRUE(single.starts_with("HTTP/1.1 200")) << bytes << "became\n" << single;
+            EXPECT_TRUE(single.ends_with("\r\n\r\n" + content)) << bytes << "became\n" << single;
+            EXPECT_NE(single.find("Server-Stamp: digest-a\r\n"), std::string::npos) << single;
+            const std::string gathered = answerTo("/g/1");
+            EXPECT_TRUE(gathered.starts_with("HTTP/1.1 200")) << bytes << "became\n" << gathered;
+            EXPECT_NE(gathered.find("digest-a, digest-b\r\n"), std::string::npos) << gathered;
+        }
+        return single;
+    }
+};
+} // namespace
+
+/// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
+TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
+{
+    startWithReplica();
+    for (const std::string &line :
+         {std::string("X Y: a"), std::string("X\tY: a"), std::string("X\0Y: a", 6), std::string("X\x01Y: a"),
+          std::string("X\x7fY: a"), std::string("X\x80Y: a"), std::string("X[Y]: a"), std::string("X(Y): a"),
+          std::string("X : a"), std::string("X"), std::string(": a")}) {
+        expectFailure(success(identity + line + "\r\n"));
+        expectFailure(success(line + "\r\n" + identity));
+        expectFailure(successWithTrailer(identity, line + "\r\n"));
+    }
+    expectFailure(success(" X: a\r\n" + identity));
+    expectFailure("HTTP/1.1 500 Internal Server Error\r\n" + fieldsAndBody(identity + "X Y: a\r\n"));
+}
+
+/// Status lines that the parser does not accept.
+TEST_F(broken_answers_test, MalformedStatusLineIsNoAnswer)
+{
+    startWithReplica();
+    for (const std::string start :
+         {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 abc OK", "HTTP/1.1 -20 OK", "HTTP/1.1 200",
+          "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK"}) {
+        expectFailure(start + "\r\n" + fieldsAndBody(identity));
+    }
+    for (const std::string start : {"HTTP/1.1 100 Continue", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 199 Odd"}) {
+        expectFailure(start + "\r\n" + fieldsAndBody(identity)); // The body stands where the next answer is expected.
+    }
+}
+
+/// Lengths of the body that contradict each other or are no decimal numbers.
+TEST_F(broken_answers_test, MalformedLengthIsNoAnswer)
+{
+    startWithReplica();
+    for (const std::string fields :
+         {"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: +16\r\n"}) {
+        expectFailure(success(identity + fields));
+    }
+    for (const std::string length : {"16, 12", "+16", "-16", "0x10", "1e1", "99999999999999999999", "16 16", ""}) {
+        expectFailure("HTTP/1.1 200 OK\r\n" + identity + "Content-Length: " + length + "\r\n\r\n" + record('b'));
+    }
+}
+
+/// Every sound way to frame an answer stays an answer.
+TEST_F(broken_answers_test, SoundAnswersArePassedOn)
+{
+    startWithReplica();
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    expectSuccess(success(identity));
+    expectSuccess(interim + success(identity));
+    expectSuccess("HTTP/1.0 200 OK\r\n" + fieldsAndBody(identity));
+    expectSuccess("HTTP/1.1 200 \r\n" + fieldsAndBody(identity));
+    expectSuccess("HTTP/1.1 200 OK\r\n" + identity + "\r\n" + record('b'));
+    expectSuccess("HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 16, 16\r\n\r\n" + record('b'));
+    expectSuccess(success(identity + "Request-Id: id-1\r\nX-Token!#$%&'*+-.^_`|~9: a\r\n"));
+    expectSuccess(successWithTrailer(identity, ""));
+    expectSuccess("HTTP/1.1 200 OK\r\n" + identity + "Transfer-Encoding: Chunked\r\n\r\n" + chunks + "\r\n");
+    expectSuccess(success(identity + "X-List: a\r\nX-List: b\r\n"));
+}
+
+/// Final statuses without a body, failures of the replica, and the least and greatest status of the protocol.
+TEST_F(broken_answers_test, EveryFinalStatusIsPassedOnFromOneReplica)
+{
+    startWithReplica();
+    m_endsConnection = false;
+    for (const std::string status : {"200", "201", "204", "299", "304", "400", "404", "418", "499", "500", "599"}) {
+        const bool hasBody = status != "204" && status != "304";
+        m_bytes = "HTTP/1.1 " + status + " Reason\r\n" + (hasBody ? fieldsAndBody(identity) : identity + "\r\n");
+        const std::string received = answerTo("/s/1");
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 " + status + " ")) << received;
+        EXPECT_NE(received.find("Server-Stamp: digest-a\r\n"), std::string::npos) << received;
+        EXPECT_EQ(received.ends_with(record('b')), hasBody) << received;
+    }
+}
--- a/Tests/platform/TestTruncatedAnswers.cpp
+++ b/Tests/platform/TestTruncatedAnswers.cpp
@@ -1,4 +1,4 @@
-#include "DaemonFixture.h"
+#include "ScriptedReplicaFixture.h"
 
 #include <vector>
 
@@ -24,58 +24,7 @@
             {start + "\r\n", content, content, true}};
 }
 
-class truncated_answers_test : public daemon_test
-{
-protected:
-    /// Starts a daemon and a replica of service a that sends `m_bytes` and closes the connection. If `m_isKept`, it
-    /// answers the first request on a connection completely.
-    void startWithReplica()
-    {
-        // All shards are required, so that the replica is asked although it has failed before.
-        std::string configuration = sampleConfiguration;
-        const std::string coverage = "\"min-coverage\": 0.5";
-        configuration.replace(configuration.find(coverage), coverage.size(), "\"min-coverage\": 1.0");
-        m_store.putText("config", "main", configuration);
-        addReplica("i-a", "a", m_cutting);
-        addReplica("i-b", "b", m_whole);
-        startDaemon();
-        ASSERT_TRUE(becomesReady());
-    }
-
-    void answerCut(raw_connection &peer)
-    {
-        if (peer.received.find("\r\n\r\n") == std::string::npos) {
-            return;
-        }
-        peer.received.clear();
-        ++m_arrivals;
-        if (m_isKept && m_answered.insert(&peer).second) {
-            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: id-0\r\nServer-Stamp: whole\r\nContent-Length: 0\r\n\r\n");
-            return;
-        }
-        peer.send(m_bytes);
-        peer.finish();
-    }
-
-    /// Sends one request, and one before it if the replica is to have an open connection already.
-    std::string answerTo(const std::string &target)
-    {
-        m_answered.clear();
-        if (m_isKept) {
-            sendRequest(m_front, "GET " + target, "id-0"); // A connection carries an id only once.
-        }
-        return sendRequest(m_front, "GET " + target);
-    }
-
-    std::string m_bytes;
-    bool m_isKept = false;
-    int m_arrivals = 0;
-    std::set<const raw_connection *> m_answered;
-    raw_server m_cutting {m_loop, [this](raw_connection &peer) {
-                              answerCut(peer);
-                          }};
-    raw_server m_whole {m_loop, answering("digest-b", record('c'))};
-};
+using truncated_answers_test = scripted_replica_test;
 } // namespace
 
 /// Guards against an answer that ends early, at any byte, and reaches the caller as a complete success: on a new and on
