LibFront, LibHttp: Accept only responses with a status of HTTP

Callers saw a status of 000 (printed as "HTTP/1.1 0 <unknown-status>") with the replica's digest and body, as if it were the replica's answer. 001, 099, 600 and 999 were passed on the same way.

Cause: the parser takes any three digits for a status, and classifyReply bounds them on neither side: what is not 2xx, 421 or at least 500 was a success for a request to one replica. A status of 000 with the field for "not executed" made the daemon say 503 ("it has not run") although nothing shows that; load, request limit and shutdown notice were taken from it as well.

Change: LibHttp says once which numbers are statuses, and of which kind (RFC 9110, section 15). A connection checks the head of each response as soon as it is complete, before its id or any other field is read. A response with another status ends the attempt as one that may have run, and the connection. All attempts of requests and shards, the store and the other daemons use this connection. The event replica_response_invalid and a counter say which replica sent what.

Evidence: a stand-in replica sends five such statuses to a real daemon, on new and kept connections, with and without a close, for one replica and as a shard.

Ruled out: a check in writeAnswer. The status would be padded or refused there after the attempt had counted as a success.

--- a/Libraries/LibFront/ExchangeResult.h
+++ b/Libraries/LibFront/ExchangeResult.h
@@ -2,6 +2,7 @@
 
 #include "LibForward/AttemptFailure.h"
 #include "LibFront/HttpTypes.h"
+#include "LibFront/ResponseFault.h"
 
 #include <optional>
 
@@ -12,5 +13,6 @@
     std::optional<reply_message> reply; ///< Set if the complete response to this request arrived.
     /// NotSent, Withdrawn or ConnectionLost; meaningful only if there is no reply.
     Forward::attempt_failure failure = Forward::attempt_failure::ConnectionLost;
+    std::optional<response_fault> fault; ///< With ConnectionLost: set if bytes arrived that are no response.
 };
 } // namespace Front
--- a/Libraries/LibFront/FrontCounters.h
+++ b/Libraries/LibFront/FrontCounters.h
@@ -24,6 +24,7 @@
     std::uint64_t retries = 0;
     std::uint64_t attempts = 0;
     std::uint64_t withdrawn = 0; ///< Attempts that became pointless while they waited for a connection.
+    std::uint64_t invalidResponses = 0; ///< Attempts that ended with bytes that are no response.
     std::map<std::string, latency_counters> answerTimes; ///< Latencies of successfully answered requests, by route.
     std::map<std::string, latency_counters> attemptTimes; ///< Latencies of replicas' successful responses, by route.
 };
--- a/Libraries/LibFront/HttpTypes.h
+++ b/Libraries/LibFront/HttpTypes.h
@@ -7,4 +7,5 @@
 {
 using request_message = boost::beast::http::request<boost::beast::http::string_body>;
 using reply_message = boost::beast::http::response<boost::beast::http::string_body>;
+using reply_head = reply_message::header_type;
 } // namespace Front
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -76,6 +76,8 @@
     addCounter(text, "withdrawn_total", "Of these, withdrawn before a connection was available.", counters.withdrawn);
     addCounter(text, "hedges_total", "Second attempts beside a late first one.", counters.hedges);
     addCounter(text, "retries_total", "Attempts after one that failed.", counters.retries);
+    addCounter(text, "invalid_responses_total", "Attempts that ended with bytes that are no response.",
+               counters.invalidResponses);
     addCounter(text, "replica_connections_total", "Connections opened to replicas.",
                environment.connections.openedCount());
     addCounter(text, "connections_passed_over_total",
--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -1,5 +1,8 @@
 #include "LibFront/ReplicaConnection.h"
 
+#include "LibFront/ReplyHead.h"
+#include "LibHttp/StatusKind.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -214,7 +217,13 @@
         const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
         m_input.erase(0, used);
         if (error && error != http::error::need_more) {
-            fail(Forward::attempt_failure::ConnectionLost);
+            fail(Forward::attempt_failure::ConnectionLost, response_fault::Syntax);
+            return;
+        }
+        const std::optional<response_fault> fault =
+            m_parser->is_header_done() ? findHeadFault(m_parser->get().base()) : std::nullopt;
+        if (fault) {
+            fail(Forward::attempt_failure::ConnectionLost, fault);
             return;
         }
         if (!m_parser->is_done()) {
@@ -226,7 +235,7 @@
 
 void replica_connection::onResponseComplete()
 {
-    const bool isInterim = m_parser->get().result_int() / 100 == 1;
+    const bool isInterim = Http::statusKindOf(m_parser->get().result_int()) == Http::status_kind::Interim;
     const auto responseId = m_requestIdField.empty() ? m_parser->get().end() : m_parser->get().find(m_requestIdField);
     const bool hasId = responseId != m_parser->get().end();
     const bool isForeign = !isInterim && hasId && responseId->value() != m_exchange->requestId;
@@ -292,12 +301,13 @@
     m_onStateChange();
 }
 
-void replica_connection::fail(Forward::attempt_failure failure)
+void replica_connection::fail(Forward::attempt_failure failure, std::optional<response_fault> fault)
 {
     m_reusable = false;
     if (m_exchange) {
         exchange_result result;
         result.failure = failure;
+        result.fault = fault;
         finish(std::move(result));
         return;
     }
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -62,7 +62,7 @@
     void parse();
     void onResponseComplete();
     void finish(exchange_result result);
-    void fail(Forward::attempt_failure failure);
+    void fail(Forward::attempt_failure failure, std::optional<response_fault> fault = std::nullopt);
     void reportHeldBytes(std::size_t bytes);
     void updateIdleDeadline(const reply_message &reply);
 
--- a/Libraries/LibFront/ReplyClass.h
+++ b/Libraries/LibFront/ReplyClass.h
@@ -19,7 +19,7 @@
     NotExecuted, ///< The replica reports that it did not execute the request.
     OtherInstance, ///< The address now belongs to a different replica.
     Failure, ///< The replica executed the request and failed.
-    Malformed, ///< The response lacks the mandatory digest, or its content is encoded.
+    Malformed, ///< See response_fault::Content.
 };
 
 [[nodiscard]] reply_class classifyReply(const reply_message &reply, const header_names &names, bool isShardRequest);
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -13,6 +13,7 @@
 #include "LibFront/FrontEnvironment.h"
 #include "LibFront/ReplicaReport.h"
 #include "LibFront/ReplyClass.h"
+#include "LibFront/ResponseFault.h"
 #include "LibFront/RetryAfter.h"
 
 #include <algorithm>
@@ -116,9 +117,12 @@
     const Core::time_point now = std::chrono::steady_clock::now();
     if (exchangeResult.reply) {
         handleReply(attempt, sent, std::move(*exchangeResult.reply), now);
-    } else {
-        handleFailure(attempt, sent, exchangeResult.failure, now);
+        return;
     }
+    if (exchangeResult.fault) {
+        recordInvalidResponse(sent, *exchangeResult.fault);
+    }
+    handleFailure(attempt, sent, exchangeResult.failure, now);
 }
 
 void request_task::handleReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply,
@@ -131,6 +135,9 @@
         if (kind == reply_class::Failure && !m_request.finished) {
             m_singleReply = std::move(reply);
         }
+        if (kind == reply_class::Malformed) {
+            recordInvalidResponse(sent, response_fault::Content);
+        }
         handleFailure(attempt, sent, failure, now);
         return;
     }
@@ -172,6 +179,18 @@
     }
 }
 
+void request_task::recordInvalidResponse(const open_attempt &sent, response_fault fault)
+{
+    ++m_environment.counters.invalidResponses;
+    const Forward::replica_registration &registration =
+        Forward::replicaAt(m_environment.forward.replicaTable, sent.replica).registration;
+    m_environment.log.write("replica_response_invalid",
+                            {{"request", m_requestId},
+                             {"replica", registration.id},
+                             {"service", registration.service},
+                             {"fault", responseFaultName(fault)}});
+}
+
 void request_task::recordRolloutOutcome(const open_attempt &sent, bool failed, Core::time_point now)
 {
     Forward::forward_context &context = m_environment.forward;
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -17,6 +17,7 @@
 {
 struct exchange_result;
 struct front_environment;
+enum class response_fault;
 
 /// Executes one request: sends attempts, passes their results to the state machine, and replies to the caller.
 /// Shared ownership: attempts that outlive the request still record their results for the replica.
@@ -44,6 +45,8 @@
     void handleReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply, Core::time_point now);
     void handleFailure(std::uint32_t attempt, const open_attempt &sent, Forward::attempt_failure failure,
                        Core::time_point now);
+    /// Counts and logs that a replica sent bytes that are not used as its response.
+    void recordInvalidResponse(const open_attempt &sent, response_fault fault);
     /// Records a response or failure for the service's rollout, if one is running.
     void recordRolloutOutcome(const open_attempt &sent, bool failed, Core::time_point now);
     /// Records that an attempt was cancelled before it was sent.
--- /dev/null
+++ b/Libraries/LibFront/ResponseFault.cpp
@@ -0,0 +1,17 @@
+#include "LibFront/ResponseFault.h"
+
+namespace Front
+{
+std::string_view responseFaultName(response_fault fault)
+{
+    switch (fault) {
+    case response_fault::Syntax:
+        return "syntax";
+    case response_fault::Status:
+        return "status";
+    case response_fault::Content:
+        return "content";
+    }
+    return "unknown";
+}
+} // namespace Front
--- /dev/null
+++ b/Libraries/LibFront/ResponseFault.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string_view>
+
+namespace Front
+{
+/// Why bytes that a server sent are not used as its response.
+enum class response_fault {
+    Syntax, ///< The parser rejects the head or the framing of the body.
+    Status, ///< The status code is none of HTTP.
+    Content, ///< The mandatory digest is missing, or the content is encoded.
+};
+
+/// Returns the fault's name in the log.
+[[nodiscard]] std::string_view responseFaultName(response_fault fault);
+} // namespace Front
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+using namespace std::chrono_literals;
+
 namespace
 {
 const std::string identity = "Request-Id: id-1\r\nServer-Stamp: digest-a\r\n";
@@ -68,9 +70,63 @@
         }
         return single;
     }
+
+    /// Returns the value of one of the daemon's metrics as text.
+    std::string metric(const std::string &name)
+    {
+        const std::string text = sendRequest(m_control, "GET /metrics");
+        const std::string line = "\n" + name + " ";
+        const std::size_t begin = text.find(line);
+        EXPECT_NE(begin, std::string::npos) << name;
+        const std::size_t value = begin + line.size();
+        return begin == std::string::npos ? std::string() : text.substr(value, text.find('\n', value) - value);
+    }
 };
 } // namespace
 
+/// Guards against a status outside of the protocol that reaches the caller as the answer of the replica.
+TEST_F(broken_answers_test, StatusOutsideOfTheProtocolIsNoAnswer)
+{
+    startWithReplica();
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        expectFailure("HTTP/1.1 " + status + " Odd\r\n" + fieldsAndBody(identity));
+    }
+}
+
+/// Guards against a report of the replica that is taken from such an answer: that the request has not run, that the
+/// replica shuts down, or a limit on its requests.
+TEST_F(broken_answers_test, NothingIsTakenFromAnswerWithStatusOutsideOfTheProtocol)
+{
+    startWithReplica();
+    const std::string notices = "Server-Leaving: 1\r\nServer-Limit: 0.5\r\nServer-Load: 900,900,1\r\n";
+    expectFailure("HTTP/1.1 000 Odd\r\n" + fieldsAndBody(identity + "Not-Executed: 1\r\n" + notices));
+    EXPECT_EQ(metric("ragwortcrank_replicas_shutting_down"), "0");
+    EXPECT_EQ(metric("ragwortcrank_limited_replicas"), "0");
+}
+
+/// The faster replica of two sends a broken answer. Another attempt at the other one serves the request.
+TEST_F(broken_answers_test, IdempotentRequestIsSentAgainAfterBrokenAnswer)
+{
+    const raw_server::script answerAtOnce = answering("digest-slow", record('s'));
+    raw_server slow(m_loop, [&](raw_connection &peer) {
+        runAfter(20ms, [&, self = peer.shared_from_this()]() { answerAtOnce(*self); });
+    });
+    addReplica("i-slow", "a", slow);
+    std::string configuration = sampleConfiguration;
+    replaceFirst(configuration, "non_idempotent", "idempotent");
+    startWithReplica(configuration);
+    m_endsConnection = false;
+    m_bytes = success(identity);
+    ASSERT_TRUE(runUntil([&]() { return answerTo("/s/1").ends_with(record('b')) && m_arrivals > 3; }));
+    m_bytes = "HTTP/1.1 000 Odd\r\n" + fieldsAndBody(identity);
+    const int before = m_arrivals;
+    for (int request = 0; request < 20; ++request) {
+        const std::string received = answerTo("/s/1");
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 200") && received.ends_with(record('s'))) << received;
+    }
+    EXPECT_GT(m_arrivals, before);
+}
+
 /// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
 TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
 {
