LibFront, LibHttp: Refuse responses with folded header lines

Callers saw a digest that was not the replica's: a line that begins with a blank (" X: a") was joined to the field before it, so that "Server-Stamp: digest-a" became "Server-Stamp: digest-a X: a" with status 200, and as a part of a gathered answer as well.

Cause: the parser still unfolds continued lines (obs-fold), which RFC 9112, section 5.2, has deprecated. It offers no setting for that, and the joined value does not show where it was joined.

Change: the parser stops after the head (it is not eager until then), and the bytes that it has taken are searched for a line that begins with a blank or a tab. It takes a field and the lines that continue it in one step, so that no line is split over two searches. Such a response ends the attempt as one that may have run. Unfolding it into blanks, which the RFC allows as well, would still pass on a value that the replica did not mean.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -1,6 +1,7 @@
 #include "LibFront/ReplicaConnection.h"
 
 #include "LibFront/ReplyHead.h"
+#include "LibHttp/HeaderSyntax.h"
 #include "LibHttp/StatusKind.h"
 
 #include <boost/asio/post.hpp>
@@ -115,7 +116,7 @@
 void replica_connection::startParser()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    m_parser->eager(false); // Stops after the head, so that acceptHead() sees it before any part of the body.
     m_parser->body_limit(maximumBodyBytes);
     m_parser->header_limit(maximumHeaderBytes);
     m_parser->skip(m_exchange->isHead);
@@ -213,26 +214,43 @@
 void replica_connection::parse()
 {
     while (m_exchange && !m_input.empty()) {
+        const bool isInHead = !m_parser->is_header_done();
         boost::system::error_code error;
         const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
+        // The parser takes a field together with the lines that continue it.
+        const bool isFolded = isInHead && Http::hasFoldedLine(std::string_view(m_input).substr(0, used));
         m_input.erase(0, used);
+        if (isFolded) {
+            fail(Forward::attempt_failure::ConnectionLost, response_fault::FoldedLine);
+            return;
+        }
         if (error && error != http::error::need_more) {
             fail(Forward::attempt_failure::ConnectionLost, response_fault::Syntax);
             return;
         }
-        const std::optional<response_fault> fault =
-            m_parser->is_header_done() ? findHeadFault(m_parser->get().base()) : std::nullopt;
-        if (fault) {
-            fail(Forward::attempt_failure::ConnectionLost, fault);
+        const bool isHeadComplete = isInHead && m_parser->is_header_done();
+        if (isHeadComplete && !acceptHead()) {
             return;
         }
-        if (!m_parser->is_done()) {
+        if (m_parser->is_done()) {
+            onResponseComplete();
+        } else if (!isHeadComplete) {
             return;
         }
-        onResponseComplete();
     }
 }
 
+bool replica_connection::acceptHead()
+{
+    const std::optional<response_fault> fault = findHeadFault(m_parser->get().base());
+    if (fault) {
+        fail(Forward::attempt_failure::ConnectionLost, fault);
+        return false;
+    }
+    m_parser->eager(true);
+    return true;
+}
+
 void replica_connection::onResponseComplete()
 {
     const bool isInterim = Http::statusKindOf(m_parser->get().result_int()) == Http::status_kind::Interim;
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -60,6 +60,8 @@
     void onRead(const boost::system::error_code &error, std::size_t size);
     void startParser();
     void parse();
+    /// Checks the head of a response before its body is read. Returns false if it ended the exchange.
+    [[nodiscard]] bool acceptHead();
     void onResponseComplete();
     void finish(exchange_result result);
     void fail(Forward::attempt_failure failure, std::optional<response_fault> fault = std::nullopt);
--- a/Libraries/LibFront/ResponseFault.cpp
+++ b/Libraries/LibFront/ResponseFault.cpp
@@ -9,6 +9,8 @@
         return "syntax";
     case response_fault::Status:
         return "status";
+    case response_fault::FoldedLine:
+        return "folded_line";
     case response_fault::Content:
         return "content";
     }
--- a/Libraries/LibFront/ResponseFault.h
+++ b/Libraries/LibFront/ResponseFault.h
@@ -8,6 +8,7 @@
 enum class response_fault {
     Syntax, ///< The parser rejects the head or the framing of the body.
     Status, ///< The status code is none of HTTP.
+    FoldedLine, ///< A line of the head begins with a blank.
     Content, ///< The mandatory digest is missing, or the content is encoded.
 };
 
--- a/Tests/LibFront/TestHttpChannel.cpp
+++ b/Tests/LibFront/TestHttpChannel.cpp
@@ -38,7 +38,7 @@
     for (const std::string status : {"000", "001", "099", "600", "999"}) {
         EXPECT_FALSE(callWith(response(status)).reply) << status;
     }
-    for (const std::string fields : {"X Y: a\r\n", "X\x01: a\r\n"}) {
+    for (const std::string fields : {"X: a\r\n b\r\n", "X: a\r\n\tY: b\r\n", "X Y: a\r\n", "X\x01: a\r\n"}) {
         EXPECT_FALSE(callWith(response("200", fields)).reply) << fields;
     }
 }
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -127,6 +127,16 @@
     EXPECT_GT(m_arrivals, before);
 }
 
+/// Guards against a line that begins with a blank and is joined to the field before it, which changes the digest.
+TEST_F(broken_answers_test, FoldedLineIsNoPartOfAnAnswer)
+{
+    startWithReplica();
+    expectFailure(success(identity + " X: a\r\n"));
+    expectFailure(success(identity + "\tX: a\r\n"));
+    expectFailure(success(identity + "X-Empty:\r\n \r\n"));
+    expectFailure("HTTP/1.1 500 Internal Server Error\r\n" + fieldsAndBody(identity + " X: a\r\n"));
+}
+
 /// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
 TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
 {
