LibFront: Keep trailer fields out of the head of a response

Callers saw fields that the replica sent after the body of a chunked answer as fields of the head: a second Server-Stamp or Request-Id. A "not executed" field there made the daemon answer 503 ("it has not run") to a request that had run, a digest there replaced a missing one, and a shutdown notice, a request limit, a Content-Encoding or a Connection field counted.

Cause: the parser inserts the fields of a trailer into the same message as those of the head.

Change: the connection takes the head out of the parser as soon as it is complete and puts it back into the finished response. The fields of a trailer are dropped with the parser's own message, as RFC 9110, section 6.5.1, asks unless a field's definition permits merging. Answers with a trailer are still answers. A trailer that is not HTTP ends the attempt as before.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -247,15 +247,17 @@
         fail(Forward::attempt_failure::ConnectionLost, fault);
         return false;
     }
+    // The parser adds the fields of a trailer to its own message. They are dropped with it (RFC 9110, section 6.5.1).
+    m_head = std::move(m_parser->get().base());
     m_parser->eager(true);
     return true;
 }
 
 void replica_connection::onResponseComplete()
 {
-    const bool isInterim = Http::statusKindOf(m_parser->get().result_int()) == Http::status_kind::Interim;
-    const auto responseId = m_requestIdField.empty() ? m_parser->get().end() : m_parser->get().find(m_requestIdField);
-    const bool hasId = responseId != m_parser->get().end();
+    const bool isInterim = Http::statusKindOf(m_head.result_int()) == Http::status_kind::Interim;
+    const auto responseId = m_requestIdField.empty() ? m_head.end() : m_head.find(m_requestIdField);
+    const bool hasId = responseId != m_head.end();
     const bool isForeign = !isInterim && hasId && responseId->value() != m_exchange->requestId;
     if (isInterim || isForeign) {
         // A foreign response belongs to an earlier request. The expected one may follow, but requests and responses on
@@ -275,6 +277,7 @@
     }
     ++m_completedExchanges;
     reply_message reply = m_parser->release();
+    reply.base() = std::move(m_head);
     m_reusable = m_reusable && m_requestSent && m_input.empty() && reply.keep_alive();
     updateIdleDeadline(reply);
     exchange_result result;
--- a/Libraries/LibFront/ReplicaConnection.h
+++ b/Libraries/LibFront/ReplicaConnection.h
@@ -77,6 +77,7 @@
     std::array<char, 4096> m_chunk {}; ///< Large enough for most responses.
     std::string m_input;
     std::optional<reply_parser> m_parser;
+    reply_head m_head; ///< Of the response that is being received; valid once acceptHead() has returned true.
     std::optional<replica_exchange> m_exchange;
     std::string m_requestText; ///< The request that is being sent; empty before its first byte is sent.
     Forward::carried_requests m_carried;
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -137,6 +137,23 @@
     expectFailure("HTTP/1.1 500 Internal Server Error\r\n" + fieldsAndBody(identity + " X: a\r\n"));
 }
 
+/// Guards against a field after the body that counts as if the head of the answer held it.
+TEST_F(broken_answers_test, TrailerFieldsAreNotMergedIntoTheHead)
+{
+    startWithReplica();
+    for (const std::string trailer : {"Server-Stamp: digest-x\r\n", "Request-Id: id-x\r\n", "Not-Executed: 1\r\n",
+                                      "Content-Encoding: gzip\r\n", "Retry-After: 1000\r\n", "Server-Leaving: 1\r\n",
+                                      "Server-Limit: 0.5\r\n", "Connection: X-Kept\r\n", "X-Trailer: a\r\n", ""}) {
+        const std::string received = expectSuccess(successWithTrailer(identity + "X-Kept: a\r\n", trailer));
+        EXPECT_NE(received.find("X-Kept: a\r\n"), std::string::npos) << trailer << received;
+        EXPECT_EQ(received.find("digest-x"), std::string::npos) << received;
+        EXPECT_EQ(received.find("id-x"), std::string::npos) << received;
+    }
+    EXPECT_EQ(metric("ragwortcrank_replicas_shutting_down"), "0");
+    EXPECT_EQ(metric("ragwortcrank_limited_replicas"), "0");
+    expectFailure(successWithTrailer("Request-Id: id-1\r\n", "Server-Stamp: digest-a\r\n"));
+}
+
 /// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
 TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
 {
