LibFront: Refuse responses in an unknown transfer coding

Callers saw coded bytes as the replica's body: an answer with "Transfer-Encoding: gzip", "chunked, gzip" or "xchunked" that ended with its connection was passed on with status 200. On a connection that stayed open it ended as 504 when the time was over. With "gzip, chunked", in one field or in two, the chunks were decoded and the gzip bytes passed on.

Cause: for the parser every coding whose last one is not "chunked" means "until the end of the connection", and the field does not reach the caller, since it belongs to the connection.

No other coding is asked for: the daemon sends no TE field to replicas.

--- a/Libraries/LibFront/ResponseFault.cpp
+++ b/Libraries/LibFront/ResponseFault.cpp
@@ -11,6 +11,8 @@
         return "status";
     case response_fault::FoldedLine:
         return "folded_line";
+    case response_fault::TransferCoding:
+        return "transfer_coding";
     case response_fault::Content:
         return "content";
     }
--- a/Libraries/LibFront/ResponseFault.h
+++ b/Libraries/LibFront/ResponseFault.h
@@ -9,6 +9,7 @@
     Syntax, ///< The parser rejects the head or the framing of the body.
     Status, ///< The status code is none of HTTP.
     FoldedLine, ///< A line of the head begins with a blank.
+    TransferCoding, ///< The body is neither sent in chunks nor as it is.
     Content, ///< The mandatory digest is missing, or the content is encoded.
 };
 
--- a/Tests/LibFront/TestHttpChannel.cpp
+++ b/Tests/LibFront/TestHttpChannel.cpp
@@ -41,6 +41,7 @@
     for (const std::string fields : {"X: a\r\n b\r\n", "X: a\r\n\tY: b\r\n", "X Y: a\r\n", "X\x01: a\r\n"}) {
         EXPECT_FALSE(callWith(response("200", fields)).reply) << fields;
     }
+    EXPECT_FALSE(callWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}").reply);
 }
 
 TEST_F(http_channel_test, SoundResponseIsAccepted)
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -154,6 +154,22 @@
     expectFailure(successWithTrailer("Request-Id: id-1\r\n", "Server-Stamp: digest-a\r\n"));
 }
 
+/// Guards against coded bytes that reach the caller as the replica's body.
+TEST_F(broken_answers_test, BodyInUnknownTransferCodingIsNoAnswer)
+{
+    startWithReplica();
+    const auto coded = [](const std::string &fields) {
+        return "HTTP/1.1 200 OK\r\n" + identity + fields + "\r\n" + chunks + "\r\n";
+    };
+    expectFailure(coded("Transfer-Encoding: gzip\r\n"));
+    expectFailure(coded("Transfer-Encoding: chunked, gzip\r\n"));
+    expectFailure(coded("Transfer-Encoding: gzip, chunked\r\n"));
+    expectFailure(coded("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"));
+    expectFailure(coded("Transfer-Encoding: xchunked\r\n"));
+    expectFailure(coded("Transfer-Encoding: chunked;level=1\r\n"));
+    expectFailure(coded("Transfer-Encoding: chunked gzip\r\n"));
+}
+
 /// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
 TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
 {
