LibFront: Refuse responses with contradictory ids or digests

Callers saw answers with two digests, or with their own id beside another one, and could not tell whose answer they had. As a part of a gathered answer the first digest was taken.

Cause: the id was compared with the first field of its name, the digest with none; all fields are passed on.

Change: findHeadFault refuses a head that names different requests; classifyReply takes a response whose digest is stated differently as malformed, before it looks at the status or at "not executed". Both use hasContradictoryFields. The same value said twice is no contradiction and is passed on as before, as RFC 9110 allows for lengths.

--- a/Libraries/LibFront/ReplicaConnection.cpp
+++ b/Libraries/LibFront/ReplicaConnection.cpp
@@ -242,7 +242,7 @@
 
 bool replica_connection::acceptHead()
 {
-    const std::optional<response_fault> fault = findHeadFault(m_parser->get().base());
+    const std::optional<response_fault> fault = findHeadFault(m_parser->get().base(), m_requestIdField);
     if (fault) {
         fail(Forward::attempt_failure::ConnectionLost, fault);
         return false;
--- a/Libraries/LibFront/ReplyClass.cpp
+++ b/Libraries/LibFront/ReplyClass.cpp
@@ -2,6 +2,7 @@
 
 #include "LibFront/ForwardedRequest.h"
 #include "LibFront/HeaderNames.h"
+#include "LibFront/ReplyHead.h"
 
 #include <algorithm>
 #include <array>
@@ -16,6 +17,9 @@
 
 reply_class classifyReply(const reply_message &reply, const header_names &names, bool isShardRequest)
 {
+    if (hasContradictoryFields(reply, names.digest)) {
+        return reply_class::Malformed;
+    }
     const unsigned status = reply.result_int();
     if (status == misdirectedRequestStatus) {
         return reply_class::OtherInstance;
--- a/Libraries/LibFront/ReplyHead.cpp
+++ b/Libraries/LibFront/ReplyHead.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace Front
@@ -19,7 +20,13 @@
     return first == last || (std::next(first) == last && boost::beast::iequals(first->value(), "chunked"));
 }
 
-std::optional<response_fault> findHeadFault(const reply_head &head)
+bool hasContradictoryFields(const reply_head &head, const std::string &name)
+{
+    const auto [first, last] = head.equal_range(name);
+    return std::any_of(first, last, [&](const auto &field) { return field.value() != first->value(); });
+}
+
+std::optional<response_fault> findHeadFault(const reply_head &head, const std::string &requestIdField)
 {
     if (Http::statusKindOf(head.result_int()) == Http::status_kind::Invalid) {
         return response_fault::Status;
@@ -27,6 +34,9 @@
     if (!hasKnownTransferCoding(head)) {
         return response_fault::TransferCoding;
     }
+    if (!requestIdField.empty() && hasContradictoryFields(head, requestIdField)) {
+        return response_fault::RequestId;
+    }
     return std::nullopt;
 }
 } // namespace Front
--- a/Libraries/LibFront/ResponseFault.cpp
+++ b/Libraries/LibFront/ResponseFault.cpp
@@ -13,6 +13,8 @@
         return "folded_line";
     case response_fault::TransferCoding:
         return "transfer_coding";
+    case response_fault::RequestId:
+        return "request_id";
     case response_fault::Content:
         return "content";
     }
--- a/Libraries/LibFront/ResponseFault.h
+++ b/Libraries/LibFront/ResponseFault.h
@@ -10,7 +10,8 @@
     Status, ///< The status code is none of HTTP.
     FoldedLine, ///< A line of the head begins with a blank.
     TransferCoding, ///< The body is neither sent in chunks nor as it is.
-    Content, ///< The mandatory digest is missing, or the content is encoded.
+    RequestId, ///< Fields name different requests.
+    Content, ///< The mandatory digest is missing or stated differently, or the content is encoded.
 };
 
 /// Returns the fault's name in the log.
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -170,6 +170,19 @@
     expectFailure(coded("Transfer-Encoding: chunked gzip\r\n"));
 }
 
+/// Guards against an answer that contradicts itself on what it belongs to.
+TEST_F(broken_answers_test, ContradictoryIdentityIsNoAnswer)
+{
+    startWithReplica();
+    expectFailure(success(identity + "Server-Stamp: digest-x\r\n"));
+    expectFailure(success(identity + "server-stamp: digest-x\r\n"));
+    expectFailure(success(identity + "Request-Id: id-x\r\n"));
+    expectFailure(success("Request-Id: id-x\r\n" + identity));
+    expectFailure("HTTP/1.1 500 Internal Server Error\r\n" + fieldsAndBody(identity + "Server-Stamp: digest-x\r\n"));
+    expectFailure("HTTP/1.1 503 Service Unavailable\r\n"
+                  + fieldsAndBody(identity + "Server-Stamp: digest-x\r\nNot-Executed: 1\r\n"));
+}
+
 /// Names of fields that hold a blank, a control byte or a delimiter, in the head and after the chunks.
 TEST_F(broken_answers_test, InvalidFieldNameIsNoPartOfAnAnswer)
 {
