LibPlatform: Accept only responses with a status of HTTP

The own interface's client took statuses 600 and 999 for responses. A backend server's broken answer with "not_run", "cancelled" or "snapshot_gone" in its body was believed, since the body is read before the status: a request that may have run could be sent again, and its caller be told that it had not run.

Cause: http_client passes on every status that libcurl reads. libcurl refuses 000, 001 and 099 itself.

Change: http_client uses the rule of LibHttp, so that it holds for shards, health checks, cancellations, the store and the operators' command. Such a response is a failure of its own, InvalidResponse; for a shard it means that the attempt may have run, for a write to the store that the result is unknown. decodeShardAnswer needs no check of its own.

Evidence: BrokenResponses.StatusOutsideOfHttpIsNoResponse and NothingIsTakenFromResponseWithStatusOutsideOfHttp failed on (for 600 and 999) and pass now, as do the other tests of TestPlatform.

--- a/Libraries/LibPlatform/BackendCodec.cpp
+++ b/Libraries/LibPlatform/BackendCodec.cpp
@@ -122,6 +122,8 @@
         return Backend::attempt_failure::ConnectFailed;
     case call_failure::TimedOut:
         return Backend::attempt_failure::ResponseTimeout;
+    case call_failure::InvalidResponse:
+        return Backend::attempt_failure::InvalidResponse;
     case call_failure::ConnectionLost:
     case call_failure::None:
         return Backend::attempt_failure::ConnectionLost;
--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "LibPlatform/HttpClient.h"
 
 #include "LibCore/Verify.h"
+#include "LibHttp/StatusKind.h"
 #include "LibPlatform/CallOutcome.h"
 #include "LibPlatform/HttpCall.h"
 
@@ -56,10 +57,11 @@
     return size * count;
 }
 
-call_failure classify(CURL *easy, CURLcode code)
+call_failure classify(CURL *easy, CURLcode code, unsigned status)
 {
     if (code == CURLE_OK) {
-        return call_failure::None;
+        const bool isFinal = Http::statusKindOf(status) == Http::status_kind::Final;
+        return isFinal ? call_failure::None : call_failure::InvalidResponse;
     }
     long requestBytes = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestBytes);
@@ -115,10 +117,10 @@
             }
             transfer *finished = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
-            call_outcome outcome;
-            outcome.failure = classify(message->easy_handle, message->data.result);
             long status = 0;
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+            call_outcome outcome;
+            outcome.failure = classify(message->easy_handle, message->data.result, static_cast<unsigned>(status));
             finished->response.status = static_cast<int>(status);
             const std::unique_ptr<transfer> ended = detach(finished->number);
             outcome.response = std::move(ended->response);
