LibPlatform: Take only 2xx of the store for success

store_client took every status below 400 for the success of a read or a write, redirections too: a daemon would have used the body of a 302 as the configuration, and told an operator that a write had taken effect that the store had not accepted.

Cause: only statuses from 400 on were errors; 304 is the answer to a watch, and every call let it pass.

Change: success is 2xx (statuses that are not HTTP's no longer reach this code), and 304 an answer to a watch only. Other reads end as Unavailable; a write ends as TimedOut, "may have taken effect", since a redirection does not say.

Evidence: BrokenResponses.StoreCallSucceedsOnlyWithStatusOfSuccess failed on and passes now, as do the other tests of TestPlatform, store_client_test with the stand-in store among them.

--- a/Libraries/LibPlatform/StoreClient.cpp
+++ b/Libraries/LibPlatform/StoreClient.cpp
@@ -10,6 +10,7 @@
 {
 static constexpr std::chrono::milliseconds pollInterval {100};
 static constexpr int statusNotModified = 304;
+static constexpr int firstRedirectionStatus = 300;
 static constexpr int firstErrorStatus = 400;
 static constexpr int firstServerErrorStatus = 500;
 
@@ -48,6 +49,11 @@
     return "store responded with status " + std::to_string(response.status) + " to " + operation;
 }
 
+static bool isSuccess(const http_response &response)
+{
+    return response.status < firstRedirectionStatus;
+}
+
 /// Returns the response of a call that changes nothing, or maps its failure to an error.
 static Core::result<http_response> checkRead(call_outcome outcome, const std::string &operation)
 {
@@ -60,14 +66,14 @@
     if (outcome.response.status == 404) {
         return Core::error {Core::error_code::NotFound, "store has no such object: cannot " + operation};
     }
-    if (outcome.response.status >= firstErrorStatus) {
+    if (!isSuccess(outcome.response)) {
         return Core::error {Core::error_code::Unavailable, statusMessage(outcome.response, operation)};
     }
     return std::move(outcome.response);
 }
 
-/// Returns the response of a write, or maps its failure to an error. After a server error, the write may or may not
-/// have taken effect.
+/// Returns the response of a write, or maps its failure to an error. After a server error or a redirection, the write
+/// may or may not have taken effect.
 static Core::result<http_response> checkWrite(call_outcome outcome, const std::string &operation)
 {
     if (outcome.failure == call_failure::ConnectFailed) {
@@ -81,12 +87,12 @@
         return Core::error {Core::error_code::Conflict,
                             "store holds another version than expected: cannot " + operation};
     }
-    if (status >= firstServerErrorStatus) {
-        return Core::error {Core::error_code::TimedOut, statusMessage(outcome.response, operation)};
-    }
-    if (status >= firstErrorStatus) {
+    if (status >= firstErrorStatus && status < firstServerErrorStatus) {
         return Core::error {Core::error_code::Unavailable, statusMessage(outcome.response, operation)};
     }
+    if (!isSuccess(outcome.response)) {
+        return Core::error {Core::error_code::TimedOut, statusMessage(outcome.response, operation)};
+    }
     return std::move(outcome.response);
 }
 
@@ -106,10 +112,11 @@
     http_call call;
     call.url = m_baseUrl + "/objects/" + key + "?watch=" + knownTag + "&timeout_ms=" + std::to_string(milliseconds);
     call.timeout = maximumWait + m_timeout;
-    http_response response = TRY(checkRead(send(std::move(call)), "watch \"" + key + "\""));
-    if (response.status == statusNotModified) {
+    call_outcome outcome = send(std::move(call));
+    if (outcome.failure == call_failure::None && outcome.response.status == statusNotModified) {
         return std::optional<stored_object>();
     }
+    http_response response = TRY(checkRead(std::move(outcome), "watch \"" + key + "\""));
     return std::optional<stored_object>(stored_object {response.headers["etag"], std::move(response.body)});
 }
 
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -104,6 +104,30 @@
     EXPECT_EQ(failureOfAttempt(response("409", "", R"({"cancelled":true})")), Backend::attempt_failure::Cancelled);
 }
 
+/// Guards against a broken response or a redirection of the store that counts as a successful read or write.
+TEST(BrokenResponses, StoreCallSucceedsOnlyWithStatusOfSuccess)
+{
+    std::vector<std::string> statuses = invalidStatuses;
+    statuses.insert(statuses.end(), {"300", "301", "302", "304", "307", "399"});
+    for (const std::string &status : statuses) {
+        const std::string body = status == "304" ? "" : "other";
+        const scripted_server server(response(status, "", body));
+        Platform::store_client client(server.url(), 2s);
+        const auto read = client.read("c");
+        ASSERT_FALSE(read) << status;
+        EXPECT_EQ(read.error().code, error_code::Unavailable) << status;
+        const auto written = client.write("c", "1", "\"6\"");
+        ASSERT_FALSE(written) << status;
+        EXPECT_EQ(written.error().code, error_code::TimedOut) << status << ": the result is unknown";
+        const auto watched = client.watch("c", "\"6\"", 50ms);
+        EXPECT_EQ(static_cast<bool>(watched), status == "304") << status;
+    }
+    const scripted_server server(response("200", "", "body"));
+    Platform::store_client client(server.url(), 2s);
+    EXPECT_EQ(client.read("c").value().body, "body");
+    EXPECT_EQ(client.write("c", "1", "\"6\"").value(), "\"7\"");
+}
+
 TEST(BrokenResponses, SoundResponsesAreAccepted)
 {
     const std::string body = "{}";
