LibPlatform, LibHttp: Refuse responses with invalid field names

The own interface's client took heads for good in which the name of a field held a blank, a tab, a control byte or a delimiter, lines without a colon, and lines that begin with a blank; with headers kept, they were kept under such a name.

Cause: libcurl checks no names, and receiveHeader took whatever stood before the first colon.

Change: LibHttp says what a field name is (RFC 9110, section 5.6.2); receiveHeader looks at every line of the head, also where headers are dropped, and fails the transfer as InvalidResponse. libcurl hands over a folded line by itself, so that the same rule refuses it. What the caller of a query got was never that line, since only the entity tag of the store is read from heads; the body is from a head that is no longer trusted.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "LibPlatform/HttpClient.h"
 
 #include "LibCore/Verify.h"
+#include "LibHttp/HeaderSyntax.h"
 #include "LibHttp/StatusKind.h"
 #include "LibPlatform/CallOutcome.h"
 #include "LibPlatform/HttpCall.h"
@@ -24,6 +25,8 @@
     curl_slist *headers = nullptr;
     std::string body;
     http_response response;
+    response_headers responseHeaders = response_headers::Kept;
+    bool hasInvalidHeader = false;
     http_client::completion done;
 };
 
@@ -40,21 +43,35 @@
     return size * count;
 }
 
+void keepField(http_response &response, std::string_view fieldName, std::string_view value)
+{
+    std::string name(fieldName);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    const std::size_t first = value.find_first_not_of(" \t");
+    const std::size_t last = value.find_last_not_of(" \t\r\n");
+    value = first == std::string_view::npos ? std::string_view() : value.substr(first, last - first + 1);
+    response.headers[std::move(name)] = value;
+}
+
+/// Receives a line of the head: the status line, a field or the empty line that ends it.
 std::size_t receiveHeader(char *data, std::size_t size, std::size_t count, void *target)
 {
+    transfer &received = *static_cast<transfer *>(target);
     const std::string_view line(data, size * count);
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        std::string name(line.substr(0, colon));
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
-        std::string_view value = line.substr(colon + 1);
-        const std::size_t first = value.find_first_not_of(" \t");
-        const std::size_t last = value.find_last_not_of(" \t\r\n");
-        value = first == std::string_view::npos ? std::string_view() : value.substr(first, last - first + 1);
-        static_cast<transfer *>(target)->response.headers[std::move(name)] = value;
+    if (line.starts_with("HTTP/") || line == "\r\n" || line == "\n") {
+        return line.size();
     }
-    return size * count;
+    // libcurl passes on a folded line by itself. It begins with a blank, which no name may hold.
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (name.size() == line.size() || !Http::isFieldName(name)) {
+        received.hasInvalidHeader = true;
+        return 0; // Fails the transfer.
+    }
+    if (received.responseHeaders == response_headers::Kept) {
+        keepField(received.response, name, line.substr(name.size() + 1));
+    }
+    return line.size();
 }
 
 call_failure classify(CURL *easy, CURLcode code, unsigned status)
@@ -120,7 +137,9 @@
             long status = 0;
             curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
             call_outcome outcome;
-            outcome.failure = classify(message->easy_handle, message->data.result, static_cast<unsigned>(status));
+            outcome.failure = finished->hasInvalidHeader
+                ? call_failure::InvalidResponse
+                : classify(message->easy_handle, message->data.result, static_cast<unsigned>(status));
             finished->response.status = static_cast<int>(status);
             const std::unique_ptr<transfer> ended = detach(finished->number);
             outcome.response = std::move(ended->response);
@@ -174,10 +193,8 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, receiveBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &started);
-    if (call.responseHeaders == response_headers::Kept) {
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, receiveHeader);
-        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
-    }
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, receiveHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
     if (call.timeout > Core::duration::zero()) {
         const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(call.timeout);
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(rounded.count()));
@@ -207,6 +224,7 @@
     started->easy = m_implementation->takeHandle();
     VERIFY(started->easy != nullptr);
     started->body = std::move(call.body);
+    started->responseHeaders = call.responseHeaders;
     started->done = std::move(done);
     configure(*started, call);
     curl_multi_add_handle(m_implementation->multi, started->easy);
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -128,6 +128,24 @@
     EXPECT_EQ(client.write("c", "1", "\"6\"").value(), "\"7\"");
 }
 
+/// Guards against a head whose field names hold a blank or a control byte.
+TEST(BrokenResponses, InvalidFieldNameIsNoResponse)
+{
+    for (const std::string &line :
+         {std::string("X Y: a"), std::string("X\tY: a"), std::string("X\x01Y: a"), std::string("X\x7fY: a"),
+          std::string("X\x80Y: a"), std::string("X[Y]: a"), std::string("X : a"), std::string("X\0Y: a", 6),
+          std::string("X"), std::string(": a")}) {
+        expectNoResponse(response("200", line + "\r\n", "{}"));
+    }
+}
+
+/// Guards against a line that begins with a blank, which some readers join to the field before it.
+TEST(BrokenResponses, FoldedLineIsNoPartOfAResponse)
+{
+    expectNoResponse(response("200", " X: a\r\n", "{}"));
+    expectNoResponse(response("200", "\tX: a\r\n", "{}"));
+}
+
 TEST(BrokenResponses, SoundResponsesAreAccepted)
 {
     const std::string body = "{}";
