LibPlatform: Keep trailer fields out of the kept headers

The own interface's client let a field after the body replace one of the head: an "ETag" in a trailer became the tag of the stored object, with which the next write is made. Fields of an interim response were kept as well.

Cause: libcurl hands the lines of interim heads, of the head and of a trailer to the same callback, which did not tell them apart.

Change: a status line begins the headers anew, and the empty line at the end of a head closes them.

Evidence: BrokenResponses.TrailerFieldsAreNotMergedIntoTheHead failed on and passes now; SoundResponsesAreAccepted also expects that no field of an interim response is kept. The other tests of TestPlatform pass.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -26,6 +26,7 @@
     std::string body;
     http_response response;
     response_headers responseHeaders = response_headers::Kept;
+    bool isHeadComplete = false;
     bool hasInvalidHeader = false;
     http_client::completion done;
 };
@@ -54,12 +55,18 @@
     response.headers[std::move(name)] = value;
 }
 
-/// Receives a line of the head: the status line, a field or the empty line that ends it.
+/// Receives a line of a head or of a trailer: the status line, a field or the empty line at the end.
 std::size_t receiveHeader(char *data, std::size_t size, std::size_t count, void *target)
 {
     transfer &received = *static_cast<transfer *>(target);
     const std::string_view line(data, size * count);
-    if (line.starts_with("HTTP/") || line == "\r\n" || line == "\n") {
+    if (line.starts_with("HTTP/")) {
+        received.isHeadComplete = false;
+        received.response.headers.clear(); // Those of an interim response.
+        return line.size();
+    }
+    if (line == "\r\n" || line == "\n") {
+        received.isHeadComplete = true;
         return line.size();
     }
     // libcurl passes on a folded line by itself. It begins with a blank, which no name may hold.
@@ -68,7 +75,8 @@
         received.hasInvalidHeader = true;
         return 0; // Fails the transfer.
     }
-    if (received.responseHeaders == response_headers::Kept) {
+    // Fields of a trailer are no part of the head (RFC 9110, section 6.5.1).
+    if (received.responseHeaders == response_headers::Kept && !received.isHeadComplete) {
         keepField(received.response, name, line.substr(name.size() + 1));
     }
     return line.size();
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -146,6 +146,17 @@
     expectNoResponse(response("200", "\tX: a\r\n", "{}"));
 }
 
+/// Guards against a field after the body that replaces one of the head.
+TEST(BrokenResponses, TrailerFieldsAreNotMergedIntoTheHead)
+{
+    const std::map<std::string, std::string> headers =
+        expectResponse("HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+                       "ETag: \"8\"\r\nX-Trailer: a\r\n\r\n")
+            .headers;
+    EXPECT_EQ(headers.at("etag"), "\"7\"");
+    EXPECT_FALSE(headers.contains("x-trailer"));
+}
+
 TEST(BrokenResponses, SoundResponsesAreAccepted)
 {
     const std::string body = "{}";
@@ -156,6 +167,7 @@
         EXPECT_EQ(accepted.status, 200);
         EXPECT_EQ(accepted.body, body);
         EXPECT_EQ(accepted.headers.at("etag"), "\"7\"");
+        EXPECT_FALSE(accepted.headers.contains("x-early"));
     }
     EXPECT_EQ(expectResponse(response("599", "", body)).status, 599);
     EXPECT_EQ(expectResponse("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n" + body).status, 200);
