--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -157,6 +157,14 @@
     EXPECT_FALSE(headers.contains("x-trailer"));
 }
 
+/// Guards against coded bytes that are taken for the body. libcurl decodes the codings that it knows.
+TEST(BrokenResponses, BodyInUnknownTransferCodingIsNoResponse)
+{
+    for (const std::string coding : {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", "chunked, xchunked"}) {
+        expectNoResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+    }
+}
+
 TEST(BrokenResponses, SoundResponsesAreAccepted)
 {
     const std::string body = "{}";
--- a/Tests/platform/TestBrokenAnswers.cpp
+++ b/Tests/platform/TestBrokenAnswers.cpp
@@ -91,6 +91,7 @@
     for (const std::string status : {"000", "001", "099", "600", "999"}) {
         expectFailure("HTTP/1.1 " + status + " Odd\r\n" + fieldsAndBody(identity));
     }
+    EXPECT_EQ(metric("ragwortcrank_invalid_responses_total"), "40") << "one for each attempt";
 }
 
 /// Guards against a report of the replica that is taken from such an answer: that the request has not run, that the
