--- a/Tests/LibPlatform/ScriptedServer.h
+++ b/Tests/LibPlatform/ScriptedServer.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "AfterResponse.h"
 #include "Support/RawServer.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <string>
 #include <thread>
-
-/// Whether a server closes its connection after a response.
-enum class after_response {
-    KeepOpen,
-    Close,
-};
+#include <utility>
 
 /// Answers each request with the same bytes, from a thread of its own.
 class scripted_server
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -12,8 +12,12 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 using Core::error_code;
 using namespace std::chrono_literals;
@@ -58,7 +62,7 @@
     }
 }
 
-/// Returns a sound response with the fields and expects that it is accepted.
+/// Expects that the client accepts the response, and returns it.
 Platform::http_response expectResponse(const std::string &bytes)
 {
     const scripted_server server(bytes);
