LibPlatform: Take a status line only where a head begins

A line such as "HTTP/X Y: a" among the fields was taken for a status line by the check of the names, so that its blank passed. Found by reading the change. The flag says now whether a head is being received, and only outside of one is a status line due.

BrokenResponses.InvalidFieldNameIsNoResponse with that line failed on the code before and passes now (TestPlatform: 20 tests).

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -26,7 +26,7 @@
     std::string body;
     http_response response;
     response_headers responseHeaders = response_headers::Kept;
-    bool isHeadComplete = false;
+    bool isInHead = false; ///< After a status line, until the empty line that ends its head.
     bool hasInvalidHeader = false;
     http_client::completion done;
 };
@@ -60,13 +60,13 @@
 {
     transfer &received = *static_cast<transfer *>(target);
     const std::string_view line(data, size * count);
-    if (line.starts_with("HTTP/")) {
-        received.isHeadComplete = false;
+    if (!received.isInHead && line.starts_with("HTTP/")) {
+        received.isInHead = true;
         received.response.headers.clear(); // Those of an interim response.
         return line.size();
     }
     if (line == "\r\n" || line == "\n") {
-        received.isHeadComplete = true;
+        received.isInHead = false;
         return line.size();
     }
     // libcurl passes on a folded line by itself. It begins with a blank, which no name may hold.
@@ -76,7 +76,7 @@
         return 0; // Fails the transfer.
     }
     // Fields of a trailer are no part of the head (RFC 9110, section 6.5.1).
-    if (received.responseHeaders == response_headers::Kept && !received.isHeadComplete) {
+    if (received.responseHeaders == response_headers::Kept && received.isInHead) {
         keepField(received.response, name, line.substr(name.size() + 1));
     }
     return line.size();
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -138,7 +138,7 @@
     for (const std::string &line :
          {std::string("X Y: a"), std::string("X\tY: a"), std::string("X\x01Y: a"), std::string("X\x7fY: a"),
           std::string("X\x80Y: a"), std::string("X[Y]: a"), std::string("X : a"), std::string("X\0Y: a", 6),
-          std::string("X"), std::string(": a")}) {
+          std::string("X"), std::string(": a"), std::string("HTTP/X Y: a")}) {
         expectNoResponse(response("200", line + "\r\n", "{}"));
     }
 }
