review: Show that a restart of all machines overloads cold replicas

Seen: after all nine processes are killed at once, with stale seeds, each takes a cold replica's whole allowance until it has found the others through the store, 2 s later.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -250,6 +250,7 @@
         self.server = None
         self.beating = None
         self.running = 0
+        self.writers = set()
 
     def beat(self):
         self.sequence += 1
@@ -276,7 +277,21 @@
         self.beat()
         self.beating = asyncio.create_task(self.beats())
 
+    def stop(self):
+        """It crashes: its connections are reset. Its entry lapses after three heartbeat intervals."""
+        self.server.close()
+        self.beating.cancel()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def start_again(self, cold_for):
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.cold_until = time.monotonic() + cold_for
+        await self.open()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line, fields, body = await read_message(reader)
@@ -299,6 +314,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -325,7 +341,7 @@
             "listen-addrs": {"front": self.front, "readiness": self.readiness, "control": self.control,
                              "directory": self.directory},
             "port-range": [fleet.ports[4], fleet.ports[4] + 15],
-            "seeds": [daemon.control for daemon in fleet.daemons[:9:3]], "bootstrap": True, "counts-as-loss": False,
+            "seeds": fleet.seeds or [daemon.control for daemon in fleet.daemons[:9:3]], "bootstrap": True, "counts-as-loss": False,
             "limits": {"cpu-share": 0.25, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0,
                        "disk-mb": 0},
             "data-dir": None, "discovery": "platform", "entry": "directory", "heartbeat-ms": int(HEARTBEAT * 1000),
@@ -390,6 +406,7 @@
         self.daemons = []
         self.replicas = []
         self.next_address = 0
+        self.seeds = []  # Other addresses than those of the machines that run.
         self.ports = self.free_ports(3 * per_zone)
         self.store = Store(record, [self.ip(200 + index) for index in range(1, 3 * per_zone + 1)], self.ports[5])
         order = [zone for zone in ZONES for _ in range(per_zone)]
@@ -413,13 +430,12 @@
             return [base, base + 1, base + 2, base + 3, base + 4, base + 5]
         raise CannotRun("no free ports")
 
-    async def add_replicas(self, service, count=3, **options):
-        zones = list(ZONES)
+    async def add_replicas(self, service, count=3, zones=tuple(ZONES), **options):
         added = []
         for number in range(count):
             self.next_address += 1
             address = f"127.78.{self.network}.{self.next_address}:{self.ports[0]}"
-            replica = Replica(self.record, self.store, f"i-{service}-{number}", service, zones[number % 3], address,
+            replica = Replica(self.record, self.store, f"i-{service}-{number}", service, zones[number % len(zones)], address,
                               **options)
             await replica.open()
             added.append(replica)
