--- a/review/6/case.py
+++ b/review/6/case.py
@@ -61,6 +61,9 @@
     tasks = []
     background = [asyncio.create_task(copies()), asyncio.create_task(traffic())]
     await asyncio.sleep(COPY_AGE)
+    # Planned work: more replicas start, cold. Their entries change with each heartbeat while they are.
+    for replica in await fleet.add_replicas("b", 3, cold_for=stand_ins.WARMUP):
+        record.say(f"{replica.name} has started")
     for number in range(6, LAST + 1):
         record.say(f"the operator writes version {number} (another time-out)")
         store.put("config", "main", version(number, "a"))
@@ -76,7 +79,9 @@
         await asyncio.sleep(AWAY)
     returned = time.monotonic()
     # What the operator and the replicas wrote is written again.
-    store.put("config", "main", version(LAST, "a"))
+    if trouble:
+        for number in range(6, LAST + 1):
+            store.put("config", "main", version(number, "a"))
     for replica in fleet.replicas:
         replica.beat()
     await asyncio.sleep(3.0)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -25,6 +25,7 @@
           "warmup-slack": 5, "evacuate-ms": 5000, "recovery-s": 12, "ttl_max_s": 5}
 LIMITS = {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
 HEARTBEAT = 1.2
+WARMUP = 3.0  # warmup-s
 
 
 class CannotRun(Exception):
@@ -453,13 +454,15 @@
             return [base, base + 1, base + 2, base + 3, base + 4, base + 5]
         raise CannotRun("no free ports")
 
-    async def add_replicas(self, service, count=3, zones=tuple(ZONES), **options):
+    async def add_replicas(self, service, count=3, zones=tuple(ZONES), cold_for=0.0, **options):
         added = []
+        first = sum(1 for replica in self.replicas if replica.service == service)
         for number in range(count):
             self.next_address += 1
             address = f"127.78.{self.network}.{self.next_address}:{self.ports[0]}"
-            replica = Replica(self.record, self.store, f"i-{service}-{number}", service, zones[number % len(zones)], address,
+            replica = Replica(self.record, self.store, f"i-{service}-{first + number}", service, zones[number % len(zones)], address,
                               **options)
+            replica.cold_until = time.monotonic() + cold_for
             await replica.open()
             added.append(replica)
         self.replicas += added
