--- a/Benchmarks/Capacity/MeasureExchanges.cpp
+++ b/Benchmarks/Capacity/MeasureExchanges.cpp
@@ -44,7 +44,7 @@
         Membership::gossip_message message;
         message.sender = "vm-590";
         message.blobs.push_back({"share", text});
-        const Membership::gossip_message reply {"vm-589", 0, 0, {}, {}, {}, {}};
+        const Membership::gossip_message reply {"vm-589", 0, 0, 0, {}, {}, {}, {}};
         rate.values.push_back(static_cast<double>(Wire::gossipSize(message) + Wire::gossipSize(reply))
                               / period.values.back());
         const Core::duration each = Bench::measureRuns(50, [&] {
--- a/Benchmarks/Policy/MembershipFleet.cpp
+++ b/Benchmarks/Policy/MembershipFleet.cpp
@@ -53,7 +53,7 @@
         started.random.seed(m_seed * 1000 + index);
         started.table = Membership::makeTable(describe(index, 1), {}, events.now());
         started.table.round = 1000;
-        Membership::setConfigurationNumber(started.table, m_storeNumber);
+        Membership::setConfigurationNumber(started.table, {0, m_storeNumber});
         for (std::size_t other = 0; other < nodes.size(); ++other) {
             if (other != index) {
                 Membership::member_record record = describe(other, 1);
@@ -237,7 +237,7 @@
     if (!own.alive || number <= own.table.self.configurationNumber) {
         return;
     }
-    Membership::setConfigurationNumber(own.table, number);
+    Membership::setConfigurationNumber(own.table, {0, number});
     announce(index);
     events.after(secondAnnouncement, [this, index] {
         if (nodes[index]->alive) {
--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -27,11 +27,11 @@
 /// the meantime don't restart the measurement: while objects change steadily, some update is always in flight.
 static Core::duration measureLag(feed_decision_state &state, const feed_view &view, Core::time_point now)
 {
-    if (view.ownNumber >= state.awaitedNumber) {
-        state.awaitedNumber = view.announcedNumber;
+    if (view.ownProgress >= state.awaitedProgress) {
+        state.awaitedProgress = view.announcedProgress;
         state.awaitedSince = now;
     }
-    return view.ownNumber < state.awaitedNumber ? now - state.awaitedSince : Core::duration {};
+    return view.ownProgress < state.awaitedProgress ? now - state.awaitedSince : Core::duration {};
 }
 
 feed_decision decideFeed(feed_decision_state &state, const feed_view &view, Core::time_point now)
--- a/Libraries/LibExchange/FeedCodec.cpp
+++ b/Libraries/LibExchange/FeedCodec.cpp
@@ -23,6 +23,13 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+/// An entry of an era far behind lies behind every position of later eras in the same way.
+static std::uint16_t erasBehind(const feed_entry &entry, const feed_update &update)
+{
+    return static_cast<std::uint16_t>(
+        std::min<std::uint32_t>(update.position.era - entry.revision.era, std::numeric_limits<std::uint16_t>::max()));
+}
+
 std::string encodeFeed(const std::vector<feed_update> &updates, Core::time_point now)
 {
     capnp::MallocMessageBuilder builder;
@@ -30,13 +37,16 @@
     for (unsigned index = 0; index < list.size(); ++index) {
         const feed_update &update = updates[index];
         list[index].setKind(textOf(update.kind));
-        list[index].setPosition(update.position);
+        list[index].setPosition(update.position.number);
+        list[index].setEra(update.position.era);
+        list[index].setNewestPresent(update.newestPresent);
         list[index].setWhole(update.isFullList);
         auto entries = list[index].initEntries(listSize(update.entries));
         for (unsigned place = 0; place < entries.size(); ++place) {
             const feed_entry &entry = update.entries[place];
             entries[place].setName(textOf(entry.name));
-            entries[place].setRevision(entry.revision);
+            entries[place].setRevision(entry.revision.number);
+            entries[place].setErasBehind(erasBehind(entry, update));
             entries[place].setDeleted(entry.deleted);
             entries[place].setContent(textOf(entry.content));
             entries[place].setAgeMilliseconds(ageOf(entry, now));
@@ -57,11 +67,17 @@
         capnp::FlatArrayMessageReader reader(kj::arrayPtr(words->data(), words->size()));
         std::vector<feed_update> updates;
         for (const auto update : reader.getRoot<Wire::Schema::FeedPage>().getKinds()) {
-            feed_update decoded {stringOf(update.getKind()), update.getPosition(), update.getWhole(), {}, {}, now};
+            feed_update decoded {
+                stringOf(update.getKind()), {update.getEra(), update.getPosition()}, update.getWhole(), {}, {}, now,
+                update.getNewestPresent()};
+            const std::uint32_t era = decoded.position.era;
             for (const auto entry : update.getEntries()) {
-                decoded.entries.push_back({stringOf(entry.getName()), entry.getRevision(), entry.getDeleted(),
-                                           stringOf(entry.getContent()),
-                                           now - std::chrono::milliseconds(entry.getAgeMilliseconds())});
+                decoded.entries.push_back(
+                    {stringOf(entry.getName()),
+                     {era - std::min<std::uint32_t>(era, entry.getErasBehind()), entry.getRevision()},
+                     entry.getDeleted(),
+                     stringOf(entry.getContent()),
+                     now - std::chrono::milliseconds(entry.getAgeMilliseconds())});
             }
             updates.push_back(std::move(decoded));
         }
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -39,7 +39,7 @@
           {
               .positions =
                   [this]() {
-                      std::map<std::string, std::uint64_t> positions;
+                      std::map<std::string, store_revision> positions;
                       for (const auto &[kind, state] : m_states) {
                           positions[kind] = state.position;
                       }
@@ -58,11 +58,7 @@
                       }
                       return sources;
                   },
-              .onUpdates =
-                  [this](const std::vector<feed_update> &updates) {
-                      m_noSourceSince.reset();
-                      applyUpdates(updates);
-                  },
+              .onUpdates = [this](std::vector<feed_update> updates) { return applyRelayed(std::move(updates)); },
               .onNoSource = [this]() { onNoSource(std::chrono::steady_clock::now()); },
           })
     , m_isSeed(isSeed)
@@ -72,6 +68,15 @@
     }
 }
 
+/// Completes an update from a daemon of an earlier version, which states no eras.
+static void stateEra(feed_update &update, std::uint32_t era)
+{
+    update.position.era = era;
+    for (feed_entry &entry : update.entries) {
+        entry.revision.era = era;
+    }
+}
+
 bool feed_control::isSilent(const std::string &source, Core::time_point now) const
 {
     const auto &members = m_exchange.table().members;
@@ -121,6 +126,69 @@
     return m_isComplete;
 }
 
+bool feed_control::applyRelayed(std::vector<feed_update> updates)
+{
+    bool isCurrent = true;
+    for (feed_update &update : updates) {
+        const auto state = m_states.find(update.kind);
+        if (state == m_states.end()) {
+            continue;
+        }
+        const std::uint32_t era = state->second.position.era;
+        if (update.position.era == 0 && m_restoredEra == 0) {
+            stateEra(update, era);
+        }
+        isCurrent = isCurrent && update.position.era >= era;
+    }
+    if (isCurrent) {
+        m_noSourceSince.reset();
+    }
+    applyUpdates(updates);
+    return isCurrent;
+}
+
+bool feed_control::applyToState(feed_state &state, const feed_update &update)
+{
+    const store_revision before = state.position;
+    if (update.position < before) {
+        m_log.write("feed_update_dropped",
+                    {{"kind", update.kind},
+                     {"revision", update.position.number},
+                     {"era", update.position.era},
+                     {"known", before.number},
+                     {"known_era", before.era}});
+        return false;
+    }
+    const std::vector<feed_entry> changed =
+        applyUpdate(state, update, [&](const feed_entry &known, const feed_entry &received) {
+            return m_hooks.isOutdated && m_hooks.isOutdated(update.kind, known, received);
+        });
+    const bool isNewEra = before.era > 0 && state.position.era > before.era;
+    if (isNewEra) {
+        recordEra(state, update.kind, before, changed.size());
+    }
+    for (const feed_entry &entry : changed) {
+        m_hooks.onEntry(update.kind, entry);
+    }
+    return isNewEra || !changed.empty();
+}
+
+void feed_control::recordEra(const feed_state &state, const std::string &kind, store_revision before,
+                             std::size_t changes)
+{
+    m_log.writeAlways("store_restored",
+                      {{"kind", kind},
+                       {"era_before", before.era},
+                       {"era", state.position.era},
+                       {"revision_before", before.number},
+                       {"revision", state.position.number},
+                       {"changes", changes}});
+    if (m_hooks.onRestored && state.position.era > m_restoredEra) {
+        m_hooks.onRestored();
+    }
+    m_restoredEra = std::max(m_restoredEra, state.position.era);
+}
+
 void feed_control::applyUpdates(const std::vector<feed_update> &updates)
 {
     bool hasChanges = false;
@@ -129,14 +197,11 @@
         if (state == m_states.end()) {
             continue; // A kind that only newer daemons use.
         }
-        for (const feed_entry &entry : applyUpdate(state->second, update)) {
-            hasChanges = true;
-            m_hooks.onEntry(update.kind, entry);
-        }
+        hasChanges = applyToState(state->second, update) || hasChanges;
     }
-    m_progressNumber = progressNumber(m_states);
-    const bool isEveryKindRead =
-        std::all_of(m_states.begin(), m_states.end(), [](const auto &state) { return state.second.position > 0; });
+    m_progress = std::max(m_progress, progressOf(m_states));
+    const bool isEveryKindRead = std::all_of(m_states.begin(), m_states.end(),
+                                             [](const auto &state) { return state.second.position.number > 0; });
     if (isEveryKindRead && !m_isComplete) {
         m_isComplete = true;
         m_hooks.onComplete();
@@ -144,7 +209,7 @@
     if (m_isComplete) {
         // Peers compare it with their own number to detect that they lag. It stays 0 until this daemon has read every
         // kind.
-        m_exchange.setConfigurationNumber(m_progressNumber);
+        m_exchange.setConfigurationNumber({m_progress.era, m_progress.revisions});
         if (m_isWatchingStore && hasChanges) {
             m_exchange.announce(std::chrono::steady_clock::now());
         }
@@ -173,7 +238,8 @@
     const bool wasSilent = m_storeContact.silentSince.has_value();
     recordProbe(m_storeContact, isAnswered, now);
     if (wasSilent != m_storeContact.silentSince.has_value()) {
-        m_log.writeAlways(isAnswered ? "store_answers" : "store_silent", {{"known", m_progressNumber}});
+        m_log.writeAlways(isAnswered ? "store_answers" : "store_silent",
+                          {{"known", m_progress.revisions}, {"era", m_progress.era}});
         if (isAnswered) {
             // Connections that have fallen silent may stay so.
             m_hooks.refresh();
@@ -202,9 +268,12 @@
     view.storeFallbackDelay = plan.storeFallbackDelay;
     view.hasSources = !plan.sources.empty() || (!m_isComplete && !table.seedAddresses.empty());
     view.hasPeerContact = table.members.empty() || now - table.lastPeerMessageAt < maximumPeerSilence;
-    view.ownNumber = m_progressNumber;
-    view.announcedNumber =
-        m_isComplete ? Membership::newestNumber(table, m_exchange.settings(), now) : m_progressNumber;
+    view.ownProgress = m_progress;
+    view.announcedProgress = m_progress;
+    if (m_isComplete) {
+        const Membership::configuration_number newest = Membership::newestNumber(table, m_exchange.settings(), now);
+        view.announcedProgress = {newest.era, newest.number};
+    }
     view.isWatchingStore = m_isWatchingStore;
     view.isSourceSilent = isSilent(m_follower.source(), now);
     view.sourceSince = m_follower.sourceSince();
@@ -219,11 +288,15 @@
         m_follower.start();
     }
     if (decision.switchSource && !m_isWatchingStore) {
-        m_log.write("feed_switch", {{"known", m_progressNumber}, {"newest", view.announcedNumber}});
+        m_log.write("feed_switch",
+                    {{"known", m_progress.revisions},
+                     {"era", m_progress.era},
+                     {"newest", view.announcedProgress.revisions},
+                     {"newest_era", view.announcedProgress.era}});
         m_follower.switchSource();
     }
     if (decision.refresh) {
-        m_log.write("feed_refresh", {{"known", m_progressNumber}});
+        m_log.write("feed_refresh", {{"known", m_progress.revisions}, {"era", m_progress.era}});
         m_hooks.refresh();
     }
 }
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -3,6 +3,7 @@
 #include "LibConfiguration/ConfigurationDocument.h"
 #include "LibExchange/FeedDecisionState.h"
 #include "LibExchange/FeedFollower.h"
+#include "LibExchange/FeedProgress.h"
 #include "LibExchange/FeedServer.h"
 #include "LibExchange/StoreContact.h"
 
@@ -26,6 +27,9 @@
         std::function<void()> stopStoreWatches; ///< Ends the watches at the store.
         std::function<void()> refresh; ///< Lists the objects of every kind again.
         std::function<void(const std::string &kind, const feed_entry &)> onEntry; ///< An entry has changed.
+        /// An `is_outdated_function` for entries of the kind.
+        std::function<bool(const std::string &kind, const feed_entry &known, const feed_entry &received)> isOutdated;
+        std::function<void()> onRestored; ///< The store was restored from a copy.
         std::function<void()> onComplete; ///< Every kind has been read for the first time.
     };
 
@@ -56,6 +60,12 @@
     void onNoSource(Core::time_point now);
     void startWatchingStore();
     void startFollowing();
+    /// Applies updates from a source. Returns whether the source has read the store in the latest era.
+    bool applyRelayed(std::vector<feed_update> updates);
+    /// Applies an update to the copy of its kind. Returns whether an entry or the era has changed.
+    bool applyToState(feed_state &state, const feed_update &update);
+    /// Logs that the store of one kind was restored from a copy.
+    void recordEra(const feed_state &state, const std::string &kind, store_revision before, std::size_t changes);
     void updateSourceRole(Core::time_point now);
 
     Front::timer_queue &m_timers;
@@ -69,7 +79,8 @@
     feed_decision_state m_decisionState;
     store_contact m_storeContact;
     std::optional<Core::time_point> m_noSourceSince; ///< Since when no source has answered.
-    std::uint64_t m_progressNumber = 0; ///< Result of `progressNumber`; announced to peers.
+    feed_progress m_progress; ///< The greatest result of `progressOf`; announced to peers.
+    std::uint32_t m_restoredEra = 0; ///< The era of the latest restore that this daemon has noticed; 0 if none.
     bool m_isSeed; ///< This daemon is a seed, which new daemons ask first.
     bool m_isWatchingStore = false;
     bool m_isComplete = false;
--- a/Libraries/LibExchange/FeedDecisionState.h
+++ b/Libraries/LibExchange/FeedDecisionState.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
-
-#include <cstdint>
+#include "LibExchange/FeedProgress.h"
 
 namespace Exchange
 {
@@ -11,8 +10,7 @@
     Core::time_point watchStoreUntil; ///< Until then the daemon watches the store even if it could follow a source.
     Core::time_point followUntil; ///< Until then the daemon follows a source even if assigned to watch the store.
     Core::time_point noSourceUntil; ///< Until then no other daemon is expected to have the feed.
-    std::uint64_t awaitedNumber =
-        0; ///< The announced revision that the daemon does not have yet and whose lag is measured.
+    feed_progress awaitedProgress; ///< The announced progress that the daemon lacks and whose lag is measured.
     Core::time_point awaitedSince;
     Core::time_point refreshedAt;
 };
--- a/Libraries/LibExchange/FeedEntry.h
+++ b/Libraries/LibExchange/FeedEntry.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibExchange/StoreRevision.h"
 
-#include <cstdint>
 #include <string>
 
 namespace Exchange
@@ -17,10 +17,12 @@
 /// One object of the store as daemons relay it. Its content is opaque here.
 struct feed_entry {
     std::string name;
-    std::uint64_t revision = 0; ///< Position of the kind at which the entry changed.
+    store_revision revision; ///< Position of the kind at which the entry changed.
     bool deleted = false;
     std::string content; ///< For a deleted entry: empty, or the result of `encodeSuspectedRemoval`.
     /// When the first daemon that relayed the entry read it from the store, by this daemon's clock.
     Core::time_point learnedAt {};
+    /// The content before the entry was deleted; empty if this daemon has not had it. Not relayed.
+    std::string removedContent {};
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedEvents.cpp
+++ b/Libraries/LibExchange/FeedEvents.cpp
@@ -8,12 +8,16 @@
 
 namespace Exchange
 {
+using namespace std::chrono_literals;
+
 /// Number of deleted entries kept, so that a daemon that lags a little gets only the changes instead of a full list.
 static constexpr std::size_t maximumDeletedEntries = 500;
+/// Objects that a restored store lacks are written again within 2 s if their writers are alive; the rest is latency.
+static constexpr Core::duration restoreSuspicionTime = 2300ms;
 
 static void evictOldDeletions(feed_state &state)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> deleted;
+    std::vector<std::pair<store_revision, std::string>> deleted;
     for (const auto &[name, entry] : state.entries) {
         if (entry.deleted) {
             deleted.emplace_back(entry.revision, name);
@@ -39,25 +43,54 @@
     return existing->second.deleted == entry.deleted && (entry.deleted || existing->second.content == entry.content);
 }
 
-std::vector<feed_entry> applyUpdate(feed_state &state, const feed_update &update)
+/// Returns whether the entry was replaced or deleted after it was written, so that it stems from a copy of the store.
+static bool isFromOlderCopy(const feed_entry &known, const feed_entry &received, const is_outdated_function &isOutdated)
+{
+    if (received.deleted || !isOutdated) {
+        return false;
+    }
+    if (!known.deleted) {
+        return isOutdated(known, received);
+    }
+    const bool isNewEra = received.revision.era > known.revision.era;
+    const bool isCertainlyRemoved =
+        received.learnedAt - known.learnedAt >= decodeSuspectedRemoval(known.content) && !known.removedContent.empty();
+    return isNewEra && isCertainlyRemoved && (received.content == known.removedContent || isOutdated(known, received));
+}
+
+std::vector<feed_entry> applyUpdate(feed_state &state, const feed_update &update,
+                                    const is_outdated_function &isOutdated)
 {
     std::vector<feed_entry> changed;
     if (update.position < state.position) {
         return changed;
     }
-    const auto applyRegistration = [&](feed_entry entry) {
-        if (!entry.deleted) {
-            state.highestPresentRevision = std::max(state.highestPresentRevision, entry.revision);
+    const bool isNewEra = update.position.era > state.position.era;
+    if (isNewEra) {
+        state.highestPresentRevision = 0;
+    }
+    const auto applyEntry = [&](feed_entry entry) {
+        if (!entry.deleted && entry.revision.era == update.position.era) {
+            state.highestPresentRevision = std::max(state.highestPresentRevision, entry.revision.number);
         }
-        if (!hasSameContent(state, entry)) {
-            changed.push_back(entry);
-            state.entries[entry.name] = std::move(entry);
+        const auto existing = state.entries.find(entry.name);
+        if (existing != state.entries.end() && isFromOlderCopy(existing->second, entry, isOutdated)) {
+            existing->second.revision = entry.revision;
+            return;
         }
+        if (hasSameContent(state, entry)) {
+            return;
+        }
+        if (entry.deleted) {
+            entry.removedContent = existing->second.content;
+        }
+        changed.push_back(entry);
+        state.entries[entry.name] = std::move(entry);
     };
     std::set<std::string> present;
     for (const feed_entry &entry : update.entries) {
         present.insert(entry.name);
-        applyRegistration(entry);
+        applyEntry(entry);
     }
     if (update.isFullList) {
         std::vector<std::string> missing;
@@ -66,30 +99,51 @@
                 missing.push_back(name);
             }
         }
+        const bool isRestored = isNewEra && state.position.era > 0;
+        const Core::duration suspicion =
+            std::max(update.suspectedRemovalWait, isRestored ? restoreSuspicionTime : Core::duration {});
         for (const std::string &name : missing) {
-            const bool isSuspected = update.suspectedRemovalWait > Core::duration {};
-            applyRegistration({name, update.position, true,
-                               isSuspected ? encodeSuspectedRemoval(update.suspectedRemovalWait) : std::string(),
-                               update.receivedAt});
+            const std::string content =
+                suspicion > Core::duration {} ? encodeSuspectedRemoval(suspicion) : std::string();
+            applyEntry({name, update.position, true, content, update.receivedAt});
         }
     }
+    state.highestPresentRevision = std::max(state.highestPresentRevision, update.newestPresent);
     state.position = update.position;
     evictOldDeletions(state);
     return changed;
 }
 
-std::uint64_t progressNumber(const std::map<std::string, feed_state> &states)
+feed_progress progressOf(const std::map<std::string, feed_state> &states)
 {
-    std::uint64_t sum = 0;
+    feed_progress progress {states.empty() ? 0 : states.begin()->second.position.era, 0};
     for (const auto &[kind, state] : states) {
-        sum += state.highestPresentRevision;
+        progress.era = std::min(progress.era, state.position.era);
+        progress.revisions += state.highestPresentRevision;
+    }
+    return progress;
+}
+
+bool hasChangesAfter(const feed_state &state, store_revision position)
+{
+    if (position.number == 0 && state.position.number > 0) {
+        return true;
     }
-    return sum;
+    // In a new era all numbers are new, so that the position is news as well.
+    return position.era < state.position.era
+        || std::any_of(state.entries.begin(), state.entries.end(),
+                       [&](const auto &entry) { return entry.second.revision > position; });
 }
 
-feed_update changesAfter(const feed_state &state, const std::string &kind, std::uint64_t position)
+feed_update changesAfter(const feed_state &state, const std::string &kind, store_revision position)
 {
-    feed_update update {kind, state.position, position == 0 || position < state.evictedUpTo, {}, {}, {}};
+    feed_update update {kind,
+                        state.position,
+                        position.number == 0 || position < state.evictedUpTo,
+                        {},
+                        {},
+                        {},
+                        state.highestPresentRevision};
     for (const auto &[name, entry] : state.entries) {
         const bool isIncluded = update.isFullList ? !entry.deleted : entry.revision > position;
         if (isIncluded) {
--- a/Libraries/LibExchange/FeedEvents.h
+++ b/Libraries/LibExchange/FeedEvents.h
@@ -1,6 +1,9 @@
 #pragma once
 
-#include <cstdint>
+#include "LibExchange/FeedProgress.h"
+#include "LibExchange/StoreRevision.h"
+
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,14 +16,22 @@
 struct feed_update;
 struct feed_state;
 
+/// Returns whether the content that was received was written before the one known, that is, before `known.content` or,
+/// for a deleted entry, `known.removedContent`. A store that is restored from a copy holds such content.
+using is_outdated_function = std::function<bool(const feed_entry &known, const feed_entry &received)>;
+
 /// Applies an update of one kind and returns the entries that changed. An update older than the state's position
-/// changes nothing.
-[[nodiscard]] std::vector<feed_entry> applyUpdate(feed_state &state, const feed_update &update);
+/// changes nothing. An entry whose content is outdated keeps the content that is known, or stays deleted.
+[[nodiscard]] std::vector<feed_entry> applyUpdate(feed_state &state, const feed_update &update,
+                                                  const is_outdated_function &isOutdated = {});
+
+/// Returns a measure that grows when newer entries are applied and is equal at all daemons that have applied the same.
+/// It decreases only while some kinds have been read in a new era and others have not.
+[[nodiscard]] feed_progress progressOf(const std::map<std::string, feed_state> &states);
 
-/// Returns a number that never decreases, grows when newer entries are applied, and is equal at all daemons that have
-/// applied the same. It is a sum over the kinds, since the maximum would hide that one kind lags behind another.
-[[nodiscard]] std::uint64_t progressNumber(const std::map<std::string, feed_state> &states);
+/// Returns whether the state holds changes that a daemon lacks that has read the kind up to `position`.
+[[nodiscard]] bool hasChangesAfter(const feed_state &state, store_revision position);
 
 /// Returns the update for a daemon that has read the kind up to `position`.
-[[nodiscard]] feed_update changesAfter(const feed_state &state, const std::string &kind, std::uint64_t position);
+[[nodiscard]] feed_update changesAfter(const feed_state &state, const std::string &kind, store_revision position);
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedFollower.cpp
+++ b/Libraries/LibExchange/FeedFollower.cpp
@@ -102,8 +102,9 @@
         m_channel = std::make_unique<Front::http_channel>(
             m_loop, m_timers, boost::asio::ip::tcp::endpoint {address->address, address->port});
     }
-    const std::string text =
-        "GET " + feedTarget(m_hooks.positions(), longPollWait) + " HTTP/1.1\r\nHost: " + m_source + "\r\n\r\n";
+    const std::map<std::string, store_revision> positions = m_hooks.positions();
+    const std::string text = "GET " + feedTarget(positions, longPollWait) + " HTTP/1.1\r\nHost: " + m_source + "\r\n"
+        + std::string(feedErasHeader) + ": " + feedErasText(positions) + "\r\n\r\n";
     m_channel->call(text, longPollWait + requestTimeoutMargin,
                     [this, source = m_source](Front::exchange_result end) { onResponse(source, std::move(end)); });
 }
@@ -111,9 +112,10 @@
 void feed_follower::onResponse(const std::string &source, Front::exchange_result end)
 {
     const bool isAnswered = end.reply && end.reply->result_int() == 200;
-    const std::optional<std::vector<feed_update>> updates =
+    std::optional<std::vector<feed_update>> updates =
         isAnswered ? decodeFeed(end.reply->body(), std::chrono::steady_clock::now()) : std::nullopt;
-    if (!updates) {
+    const bool isUsable = updates && m_hooks.onUpdates(std::move(*updates));
+    if (!isUsable) {
         m_log.write("feed_source_lost", {{"source", source}, {"status", end.reply ? end.reply->result_int() : 0}});
         m_avoidUntil[source] = std::chrono::steady_clock::now() + sourceRetryDelay;
         // This runs inside the channel's own callback, so the channel is replaced or reused only after it has returned.
@@ -124,7 +126,6 @@
         });
         return;
     }
-    m_hooks.onUpdates(*updates);
     if (m_following) {
         requestUpdates();
     }
--- a/Libraries/LibExchange/FeedFollower.h
+++ b/Libraries/LibExchange/FeedFollower.h
@@ -7,7 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,9 +28,10 @@
 public:
     /// Functions that the owner provides.
     struct callbacks {
-        std::function<std::map<std::string, std::uint64_t>()> positions; ///< Positions already read, by kind.
+        std::function<std::map<std::string, store_revision>()> positions; ///< Positions already read, by kind.
         std::function<std::vector<std::string>()> sources; ///< Peer addresses, the preferred first.
-        std::function<void(const std::vector<feed_update> &)> onUpdates;
+        /// Returns whether the source has read the store as it is now, so that it can be followed further.
+        std::function<bool(std::vector<feed_update>)> onUpdates;
         std::function<void()> onNoSource; ///< No source answers; the follower has stopped.
     };
 
--- a/Libraries/LibExchange/FeedServer.cpp
+++ b/Libraries/LibExchange/FeedServer.cpp
@@ -3,6 +3,7 @@
 #include "LibExchange/FeedCodec.h"
 #include "LibExchange/FeedEvents.h"
 
+#include <algorithm>
 #include <charconv>
 #include <memory>
 #include <optional>
@@ -16,28 +17,37 @@
 static constexpr Core::duration batchDelay = 50ms;
 static constexpr std::string_view feedPath = "/feed/";
 
-std::string feedTarget(const std::map<std::string, std::uint64_t> &positions, Core::duration wait)
+std::string feedTarget(const std::map<std::string, store_revision> &positions, Core::duration wait)
 {
     std::string target(feedPath);
     target += std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
     for (const auto &[kind, position] : positions) {
-        target += "/" + kind + "/" + std::to_string(position);
+        target += "/" + kind + "/" + std::to_string(position.number);
     }
     return target;
 }
 
-static std::optional<std::uint64_t> readNumber(std::string_view text)
+std::string feedErasText(const std::map<std::string, store_revision> &positions)
 {
-    std::uint64_t number = 0;
+    std::string text;
+    for (const auto &[kind, position] : positions) {
+        text += (text.empty() ? "" : ",") + std::to_string(position.era);
+    }
+    return text;
+}
+
+template<typename Number> static std::optional<Number> readNumber(std::string_view text)
+{
+    Number number = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
     return failure == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
-static std::string_view takeSegment(std::string_view &rest)
+static std::string_view takeSegment(std::string_view &rest, char separator = '/')
 {
-    const std::size_t slash = rest.find('/');
-    const std::string_view segment = rest.substr(0, slash);
-    rest = slash == std::string_view::npos ? std::string_view() : rest.substr(slash + 1);
+    const std::size_t end = rest.find(separator);
+    const std::string_view segment = rest.substr(0, end);
+    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
     return segment;
 }
 
@@ -63,16 +73,9 @@
         return {};
     }
     rest.remove_prefix(feedPath.size());
-    const std::optional<std::uint64_t> wait = readNumber(takeSegment(rest));
-    waiting_request waiting;
-    bool isValid = wait.has_value();
-    while (!rest.empty()) {
-        const std::string kind(takeSegment(rest));
-        const std::optional<std::uint64_t> position = readNumber(takeSegment(rest));
-        isValid = isValid && position && m_states.contains(kind);
-        waiting.positions[kind] = position.value_or(0);
-    }
-    if (!isValid) {
+    const std::optional<std::uint64_t> wait = readNumber<std::uint64_t>(takeSegment(rest));
+    const std::optional<positions_by_kind> positions = readPositions(rest, request[feedErasHeader]);
+    if (!wait || !positions) {
         reply(Front::errorAnswer(400, "positions cannot be read"));
         return {};
     }
@@ -80,6 +83,12 @@
         reply(Front::errorAnswer(503, "this daemon does not hear from the store"));
         return {};
     }
+    if (isOutdatedFor(*positions)) {
+        reply(Front::errorAnswer(503, "this daemon has not read the store in that era"));
+        return {};
+    }
+    waiting_request waiting;
+    waiting.positions = *positions;
     waiting.reply = reply;
     const auto inserted = m_waiting.insert(m_waiting.end(), std::move(waiting));
     const auto isPending = std::make_shared<bool>(true);
@@ -106,20 +115,41 @@
     };
 }
 
-bool feed_server::hasChangesFor(const waiting_request &waiting) const
+std::optional<feed_server::positions_by_kind> feed_server::readPositions(std::string_view kinds,
+                                                                         std::string_view eras) const
 {
-    for (const auto &[kind, position] : waiting.positions) {
-        const feed_state &state = m_states.at(kind);
-        for (const auto &[name, entry] : state.entries) {
-            if (entry.revision > position) {
-                return true;
-            }
+    positions_by_kind positions;
+    const bool hasEras = !eras.empty();
+    while (!kinds.empty()) {
+        const std::string kind(takeSegment(kinds));
+        const std::optional<std::uint64_t> number = readNumber<std::uint64_t>(takeSegment(kinds));
+        const auto state = m_states.find(kind);
+        if (!number || state == m_states.end()) {
+            return std::nullopt;
         }
-        if (position == 0 && state.position > 0) {
-            return true;
+        // A follower of an earlier version compares the numbers alone.
+        const std::optional<std::uint32_t> era =
+            hasEras ? readNumber<std::uint32_t>(takeSegment(eras, ',')) : state->second.position.era;
+        if (!era) {
+            return std::nullopt;
         }
+        positions[kind] = {*era, *number};
     }
-    return false;
+    return positions;
+}
+
+bool feed_server::isOutdatedFor(const positions_by_kind &positions) const
+{
+    return std::any_of(positions.begin(), positions.end(), [&](const auto &position) {
+        return position.second.era > m_states.at(position.first).position.era;
+    });
+}
+
+bool feed_server::hasChangesFor(const waiting_request &waiting) const
+{
+    return std::any_of(waiting.positions.begin(), waiting.positions.end(), [&](const auto &position) {
+        return hasChangesAfter(m_states.at(position.first), position.second);
+    });
 }
 
 std::string feed_server::encodeChangesAfter(const positions_by_kind &positions) const
--- a/Libraries/LibExchange/FeedServer.h
+++ b/Libraries/LibExchange/FeedServer.h
@@ -2,15 +2,16 @@
 
 #include "LibCore/Time.h"
 #include "LibExchange/FeedState.h"
+#include "LibExchange/StoreRevision.h"
 #include "LibFront/ExchangeHandler.h"
 #include "LibFront/TimerQueue.h"
 
-#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Exchange
 {
@@ -32,7 +33,7 @@
     void notifyWaiting();
 
 private:
-    using positions_by_kind = std::map<std::string, std::uint64_t>;
+    using positions_by_kind = std::map<std::string, store_revision>;
     using encoded_changes = std::map<positions_by_kind, std::string>; ///< Responses, by the positions they follow.
 
     struct waiting_request {
@@ -42,6 +43,10 @@
     };
     using waiting_requests = std::list<waiting_request>;
 
+    /// Returns the positions that the request names, or nothing if it is malformed.
+    [[nodiscard]] std::optional<positions_by_kind> readPositions(std::string_view kinds, std::string_view eras) const;
+    /// Returns whether a follower has read any kind in a later era than this daemon.
+    [[nodiscard]] bool isOutdatedFor(const positions_by_kind &positions) const;
     [[nodiscard]] bool hasChangesFor(const waiting_request &waiting) const;
     [[nodiscard]] std::string encodeChangesAfter(const positions_by_kind &positions) const;
     /// Answers one request. Responses are taken from and added to `encoded`.
@@ -56,5 +61,10 @@
 };
 
 /// Returns the request target for the changes after `positions`; `wait` is how long the request may wait for a change.
-[[nodiscard]] std::string feedTarget(const std::map<std::string, std::uint64_t> &positions, Core::duration wait);
+[[nodiscard]] std::string feedTarget(const std::map<std::string, store_revision> &positions, Core::duration wait);
+
+/// Names the header with the eras of a request's positions, separated by commas, in the order of the target. Daemons of
+/// earlier versions neither send nor read it.
+inline constexpr std::string_view feedErasHeader = "Feed-Eras";
+[[nodiscard]] std::string feedErasText(const std::map<std::string, store_revision> &positions);
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedUpdate.h
+++ b/Libraries/LibExchange/FeedUpdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibExchange/FeedEntry.h"
+#include "LibExchange/StoreRevision.h"
 
 #include <cstdint>
 #include <string>
@@ -11,12 +12,14 @@
 /// An update of one kind of objects.
 struct feed_update {
     std::string kind;
-    std::uint64_t position = 0; ///< Store revision up to which the kind has been read; 0: not read yet.
+    store_revision position; ///< Store revision up to which the kind has been read.
     bool isFullList = false; ///< The entries are all objects of the kind rather than only the changed ones.
     std::vector<feed_entry> entries;
     /// How long an object that is missing from a full list is only suspected of removal, because the store had an
     /// outage. Not relayed: each deleted entry carries the wait in its content.
     Core::duration suspectedRemovalWait {};
     Core::time_point receivedAt {}; ///< When this daemon received the update.
+    /// In the era of the position, the highest revision of any entry that the sender has had and that was not deleted.
+    std::uint64_t newestPresent = 0;
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedView.h
+++ b/Libraries/LibExchange/FeedView.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
-
-#include <cstdint>
+#include "LibExchange/FeedProgress.h"
 
 namespace Exchange
 {
@@ -11,8 +10,8 @@
     bool watchesStore = false; ///< The feed plan assigns this daemon to watch the store.
     bool hasSources = false; ///< There are other daemons to follow.
     bool hasPeerContact = true; ///< A peer has sent a message recently, or no peer exists.
-    std::uint64_t ownNumber = 0; ///< Newest number that this daemon has.
-    std::uint64_t announcedNumber = 0; ///< Newest number that a live daemon has announced.
+    feed_progress ownProgress;
+    feed_progress announcedProgress; ///< The greatest that a live daemon has announced.
     bool isWatchingStore = false; ///< The daemon currently watches the store.
     Core::duration storeFallbackDelay {}; ///< Further lag before this daemon asks the store; differs between daemons.
     bool isSourceSilent = false; ///< While it follows: the source's heartbeats have stopped.
--- a/Libraries/LibExchange/MissedChanges.cpp
+++ b/Libraries/LibExchange/MissedChanges.cpp
@@ -9,7 +9,7 @@
 /// Objects of kinds that are not watched change the store's revision as well.
 static constexpr Core::duration minimumListInterval = 5s;
 
-bool shouldListAgain(missed_changes &state, std::uint64_t storeRevision, std::uint64_t watchedRevision,
+bool shouldListAgain(missed_changes &state, store_revision storeRevision, store_revision watchedRevision,
                      Core::time_point now)
 {
     if (watchedRevision >= state.awaitedRevision) {
--- a/Libraries/LibExchange/MissedChanges.h
+++ b/Libraries/LibExchange/MissedChanges.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
-
-#include <cstdint>
+#include "LibExchange/StoreRevision.h"
 
 namespace Exchange
 {
@@ -10,13 +9,13 @@
 /// the store does not respond may be lost without an error, and the connection then looks healthy for as long as the
 /// call would wait.
 struct missed_changes {
-    std::uint64_t awaitedRevision = 0; ///< A revision of the store that the watches had not reached.
+    store_revision awaitedRevision; ///< A revision of the store that the watches had not reached.
     Core::time_point awaitedSince;
     Core::time_point refreshedAt;
 };
 
 /// Returns whether to list everything again. `storeRevision` is the store's revision now, `watchedRevision` the highest
 /// one that any watch or list has reported.
-[[nodiscard]] bool shouldListAgain(missed_changes &state, std::uint64_t storeRevision, std::uint64_t watchedRevision,
+[[nodiscard]] bool shouldListAgain(missed_changes &state, store_revision storeRevision, store_revision watchedRevision,
                                    Core::time_point now);
 } // namespace Exchange
--- a/Libraries/LibExchange/PeerExchange.cpp
+++ b/Libraries/LibExchange/PeerExchange.cpp
@@ -163,7 +163,7 @@
     }
 }
 
-void peer_exchange::setConfigurationNumber(std::uint64_t number)
+void peer_exchange::setConfigurationNumber(Membership::configuration_number number)
 {
     Membership::setConfigurationNumber(m_table, number);
 }
--- a/Libraries/LibExchange/PeerExchange.h
+++ b/Libraries/LibExchange/PeerExchange.h
@@ -61,7 +61,7 @@
     void leave();
     /// Sends a blob to all live members at once.
     void broadcast(const Membership::keyed_blob &blob);
-    void setConfigurationNumber(std::uint64_t number);
+    void setConfigurationNumber(Membership::configuration_number number);
     /// Makes this daemon send heartbeat messages while it is active.
     void setActive(bool active);
     /// Publishes whether requests wait for this daemon's processor, with the next messages.
--- a/Libraries/LibFront/FrontCounters.h
+++ b/Libraries/LibFront/FrontCounters.h
@@ -11,6 +11,7 @@
 /// Counters since the start of the process.
 struct front_counters {
     std::uint64_t failedHandlers = 0; ///< Handlers of the event loop that an exception left.
+    std::uint64_t storeRestores = 0; ///< Times that the store came back from a copy.
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t answeredLate = 0; ///< Latency exceeded the route's target latency.
--- a/Libraries/LibFront/MetricsText.cpp
+++ b/Libraries/LibFront/MetricsText.cpp
@@ -85,6 +85,8 @@
                environment.connections.passedOverCount());
     addCounter(text, "dropped_responses_total", "Responses of replicas dropped because all together were too large.",
                environment.connections.droppedResponseCount());
+    addCounter(text, "store_restores_total", "Times that the store was found restored from a copy.",
+               counters.storeRestores);
     addCounter(text, "failed_handlers_total", "Event handlers that ended with an exception.", counters.failedHandlers);
     addGauge(text, "configuration_version", "The version in force; 0 if none is known.",
              environment.configuration ? static_cast<double>(environment.configuration->version) : 0.0);
--- a/Libraries/LibMembership/ConfigurationPropagation.cpp
+++ b/Libraries/LibMembership/ConfigurationPropagation.cpp
@@ -22,7 +22,7 @@
 {
     std::vector<std::string> sources;
     for (const auto &[name, member] : table.members) {
-        if (member.record.configurationNumber > table.self.configurationNumber
+        if (member.record.configuration() > table.self.configuration()
             && statusOf(table, member, settings, now) != member_status::Dead) {
             sources.push_back(member.record.peerAddress);
         }
--- a/Libraries/LibMembership/FeedPlan.cpp
+++ b/Libraries/LibMembership/FeedPlan.cpp
@@ -96,12 +96,12 @@
     return plan;
 }
 
-std::uint64_t newestNumber(const member_table &table, const membership_settings &settings, Core::time_point now)
+configuration_number newestNumber(const member_table &table, const membership_settings &settings, Core::time_point now)
 {
-    std::uint64_t newest = table.self.configurationNumber;
+    configuration_number newest = table.self.configuration();
     for (const auto &[name, member] : table.members) {
         if (statusOf(table, member, settings, now) == member_status::Live) {
-            newest = std::max(newest, member.record.configurationNumber);
+            newest = std::max(newest, member.record.configuration());
         }
     }
     return newest;
--- a/Libraries/LibMembership/FeedPlan.h
+++ b/Libraries/LibMembership/FeedPlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibMembership/ConfigurationNumber.h"
 
 #include <string>
 #include <vector>
@@ -31,6 +32,6 @@
                                  const Configuration::configuration_document &document, Core::time_point now);
 
 /// Returns the highest configuration number that any live member, including this daemon, reports as in force.
-[[nodiscard]] std::uint64_t newestNumber(const member_table &table, const membership_settings &settings,
-                                         Core::time_point now);
+[[nodiscard]] configuration_number newestNumber(const member_table &table, const membership_settings &settings,
+                                                Core::time_point now);
 } // namespace Membership
--- a/Libraries/LibMembership/Gossip.cpp
+++ b/Libraries/LibMembership/Gossip.cpp
@@ -15,13 +15,14 @@
 {
 static constexpr std::uint8_t unknownLag = std::numeric_limits<std::uint8_t>::max();
 
-static digest_entry makeDigestEntry(const member_record &record, std::uint64_t newestNumber)
+static digest_entry makeDigestEntry(const member_record &record, const gossip_message &message)
 {
     digest_entry entry;
     entry.id = recordId(record.name, record.incarnation);
     entry.heartbeat = static_cast<std::uint16_t>(record.heartbeat);
-    const std::uint64_t lag = newestNumber - std::min(newestNumber, record.configurationNumber);
-    entry.lag = static_cast<std::uint8_t>(std::min<std::uint64_t>(lag, unknownLag));
+    const std::uint64_t lag = message.newestNumber - std::min(message.newestNumber, record.configurationNumber);
+    const bool isComparable = record.configurationEra == message.newestEra;
+    entry.lag = isComparable ? static_cast<std::uint8_t>(std::min<std::uint64_t>(lag, unknownLag)) : unknownLag;
     entry.leaving = record.leaving;
     entry.overloaded = record.overloaded;
     return entry;
@@ -29,11 +30,11 @@
 
 /// Returns the configuration number that the lags in a message are relative to. It is the highest of all members, since
 /// a member may be ahead of the sender.
-static std::uint64_t newestNumber(const member_table &table)
+static configuration_number newestNumber(const member_table &table)
 {
-    std::uint64_t newest = table.self.configurationNumber;
+    configuration_number newest = table.self.configuration();
     for (const auto &[name, member] : table.members) {
-        newest = std::max(newest, member.record.configurationNumber);
+        newest = std::max(newest, member.record.configuration());
     }
     return newest;
 }
@@ -60,7 +61,8 @@
     message.sender = table.self.name;
     message.configurationNumber = table.self.configurationNumber;
     message.newestNumber = table.self.configurationNumber;
-    message.digest.push_back(makeDigestEntry(table.self, message.newestNumber));
+    message.newestEra = table.self.configurationEra;
+    message.digest.push_back(makeDigestEntry(table.self, message));
     return message;
 }
 
@@ -69,8 +71,10 @@
     gossip_message message;
     message.sender = table.self.name;
     message.configurationNumber = table.self.configurationNumber;
-    message.newestNumber = newestNumber(table);
-    message.digest.push_back(makeDigestEntry(table.self, message.newestNumber));
+    const configuration_number newest = newestNumber(table);
+    message.newestNumber = newest.number;
+    message.newestEra = newest.era;
+    message.digest.push_back(makeDigestEntry(table.self, message));
     return message;
 }
 
@@ -86,7 +90,7 @@
             const bool isHeard = found != table.members.end() && found->second.advancedDirectly
                 && !isSilent(found->second, settings, now);
             if (isHeard && message.digest.size() < settings.maximumDigestEntries) {
-                message.digest.push_back(makeDigestEntry(*member, message.newestNumber));
+                message.digest.push_back(makeDigestEntry(*member, message));
             }
         }
     }
@@ -115,7 +119,7 @@
         if (message.digest.size() >= settings.maximumDigestEntries) {
             break;
         }
-        message.digest.push_back(makeDigestEntry(member->record, message.newestNumber));
+        message.digest.push_back(makeDigestEntry(member->record, message));
     }
     if (table.round <= static_cast<std::uint64_t>(settings.recordTransmissions)) {
         message.records.push_back(table.self);
@@ -243,7 +247,11 @@
     const std::uint64_t newest = message.newestNumber;
     member.record.leaving = member.record.leaving || entry.leaving;
     if (entry.lag != unknownLag && newest >= entry.lag) {
-        member.record.configurationNumber = std::max(member.record.configurationNumber, newest - entry.lag);
+        const configuration_number stated {message.newestEra, newest - entry.lag};
+        if (stated > member.record.configuration()) {
+            member.record.configurationNumber = stated.number;
+            member.record.configurationEra = stated.era;
+        }
     }
 }
 
@@ -296,7 +304,7 @@
         if (reply.digest.size() >= settings.maximumDigestEntries) {
             return;
         }
-        const digest_entry own = makeDigestEntry(member->record, reply.newestNumber);
+        const digest_entry own = makeDigestEntry(member->record, reply);
         const auto found = peerEntries.find(own.id);
         const bool isNewer = found == peerEntries.end()
             || static_cast<std::int16_t>(static_cast<std::uint16_t>(own.heartbeat - found->second.heartbeat)) > 0;
--- a/Libraries/LibMembership/MemberRecord.h
+++ b/Libraries/LibMembership/MemberRecord.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibMembership/ConfigurationNumber.h"
+
 #include <cstdint>
 #include <string>
 
@@ -16,8 +18,14 @@
     std::string dataCentre;
     bool leaving = false; ///< Once set, stays set for the rest of the incarnation.
     std::uint64_t configurationNumber = 0; ///< The configuration number that the daemon has in force.
+    std::uint32_t configurationEra = 0; ///< The era of `configurationNumber`; 0 if the store states none.
     std::uint32_t capacity = 0; ///< Processor share in thousandths of a core; 0 if unknown.
     bool overloaded = false; ///< Requests wait for the daemon's processor. Belongs to `heartbeat`.
     bool operator==(const member_record &) const = default;
+
+    [[nodiscard]] configuration_number configuration() const
+    {
+        return {configurationEra, configurationNumber};
+    }
 };
 } // namespace Membership
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -41,8 +41,9 @@
         member.record.overloaded = true;
         changed = true;
     }
-    if (record.configurationNumber > member.record.configurationNumber) {
+    if (record.configuration() > member.record.configuration()) {
         member.record.configurationNumber = record.configurationNumber;
+        member.record.configurationEra = record.configurationEra;
         changed = true;
     }
     if (record.leaving && !member.record.leaving) {
@@ -103,10 +104,11 @@
     }
 }
 
-void setConfigurationNumber(member_table &table, std::uint64_t number)
+void setConfigurationNumber(member_table &table, configuration_number number)
 {
-    if (number > table.self.configurationNumber) {
-        table.self.configurationNumber = number;
+    if (number > table.self.configuration()) {
+        table.self.configurationNumber = number.number;
+        table.self.configurationEra = number.era;
         ++table.self.heartbeat;
     }
 }
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibMembership/ConfigurationNumber.h"
 #include "LibMembership/MemberStatus.h"
 
 #include <cstddef>
@@ -46,7 +47,7 @@
 bool setOverloaded(member_table &table, bool overloaded);
 
 /// Records the configuration number that this daemon has in force.
-void setConfigurationNumber(member_table &table, std::uint64_t number);
+void setConfigurationNumber(member_table &table, configuration_number number);
 
 /// Removes members that have been dead for `deadMemberRetention` and, beyond the maximum table size, those that have
 /// been dead the longest.
--- a/Libraries/LibWire/GossipCodec.cpp
+++ b/Libraries/LibWire/GossipCodec.cpp
@@ -21,6 +21,7 @@
     builder.setDataCentre(textOf(record.dataCentre));
     builder.setLeaving(record.leaving);
     builder.setConfigurationNumber(record.configurationNumber);
+    builder.setConfigurationEra(record.configurationEra);
     builder.setOverloaded(record.overloaded);
     builder.setCapacity(record.capacity);
 }
@@ -36,6 +37,7 @@
     record.dataCentre = stringOf(reader.getDataCentre());
     record.leaving = reader.getLeaving();
     record.configurationNumber = reader.getConfigurationNumber();
+    record.configurationEra = reader.getConfigurationEra();
     record.overloaded = reader.getOverloaded();
     record.capacity = reader.getCapacity();
     return record;
@@ -59,6 +61,7 @@
     builder.setSender(textOf(message.sender));
     builder.setConfigurationNumber(message.configurationNumber);
     builder.setNewestNumber(message.newestNumber);
+    builder.setNewestEra(message.newestEra);
     builder.setIsHeartbeat(message.isHeartbeat);
     encodeDigest(message.digest, builder.initDigest(listSize(message.digest)));
     auto records = builder.initRecords(listSize(message.records));
@@ -82,6 +85,7 @@
     message.sender = stringOf(reader.getSender());
     message.configurationNumber = reader.getConfigurationNumber();
     message.newestNumber = reader.getNewestNumber();
+    message.newestEra = reader.getNewestEra();
     message.isHeartbeat = reader.getIsHeartbeat();
     for (const auto entry : checkLength(reader.getDigest(), maximumListItems, "digest")) {
         message.digest.push_back(
--- a/Libraries/LibWire/Peer.capnp
+++ b/Libraries/LibWire/Peer.capnp
@@ -16,6 +16,7 @@
   configurationNumber @7 :UInt64; # The number that the daemon has in force.
   overloaded @8 :Bool;            # Requests wait for the daemon's processor.
   capacity @9 :UInt32;            # Processor share in thousandths of a core; 0 if unknown.
+  configurationEra @10 :UInt32;   # The era of configurationNumber; daemons of earlier versions state none.
 }
 
 struct KeyedBlob {
@@ -42,6 +43,7 @@
   blobs @5 :List(KeyedBlob);
   newestNumber @6 :UInt64;        # The highest number of any member; lags count down from it.
   isHeartbeat @7 :Bool;           # Sent by an active member apart from the rounds.
+  newestEra @8 :UInt32;           # The era of newestNumber; the lag of a member in another era is 255.
 }
 
 struct BranchRequest {
@@ -100,6 +102,7 @@
   deleted @2 :Bool;
   content @3 :Text;
   ageMilliseconds @4 :UInt32;     # Since the first daemon that relays the entry read it from the store.
+  erasBehind @5 :UInt16;          # Eras between that of the revision and that of the kind's position.
 }
 
 struct FeedKind {
@@ -107,6 +110,8 @@
   position @1 :UInt64;            # The store's revision up to which the entries are known.
   whole @2 :Bool;                 # Every entry there is, rather than those that changed.
   entries @3 :List(FeedEntry);
+  era @4 :UInt32;                 # The era of the position; daemons of earlier versions state none.
+  newestPresent @5 :UInt64;       # In that era, the highest revision of any entry that was not deleted.
 }
 
 struct FeedPage {
--- a/Libraries/LibWire/Peer.capnp.h
+++ b/Libraries/LibWire/Peer.capnp.h
@@ -65,7 +65,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(f21acfce2fabebbe, 4, 4)
+        CAPNP_DECLARE_STRUCT_HEADER(f21acfce2fabebbe, 5, 4)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -321,7 +321,7 @@
     class Pipeline;
 
     struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(b1eaff1b7644e36b, 2, 2)
+        CAPNP_DECLARE_STRUCT_HEADER(b1eaff1b7644e36b, 3, 2)
 #if !CAPNP_LITE
         static constexpr ::capnp::_::RawBrandedSchema const *brand()
         {
@@ -608,6 +608,8 @@
 
     inline ::uint32_t getCapacity() const;
 
+    inline ::uint32_t getConfigurationEra() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -697,6 +699,9 @@
     inline ::uint32_t getCapacity();
     inline void setCapacity(::uint32_t value);
 
+    inline ::uint32_t getConfigurationEra();
+    inline void setConfigurationEra(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -1005,6 +1010,8 @@
 
     inline bool getIsHeartbeat() const;
 
+    inline ::uint32_t getNewestEra() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -1094,6 +1101,9 @@
     inline bool getIsHeartbeat();
     inline void setIsHeartbeat(bool value);
 
+    inline ::uint32_t getNewestEra();
+    inline void setNewestEra(::uint32_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -2209,6 +2219,8 @@
 
     inline ::uint32_t getAgeMilliseconds() const;
 
+    inline ::uint16_t getErasBehind() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -2275,6 +2287,9 @@
     inline ::uint32_t getAgeMilliseconds();
     inline void setAgeMilliseconds(::uint32_t value);
 
+    inline ::uint16_t getErasBehind();
+    inline void setErasBehind(::uint16_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -2337,6 +2352,10 @@
     inline bool hasEntries() const;
     inline ::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+    inline ::uint32_t getEra() const;
+
+    inline ::uint64_t getNewestPresent() const;
+
 private:
     ::capnp::_::StructReader _reader;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -2400,6 +2419,12 @@
     inline void adoptEntries(::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>> &&value);
     inline ::capnp::Orphan<::capnp::List<::Wire::Schema::FeedEntry, ::capnp::Kind::STRUCT>> disownEntries();
 
+    inline ::uint32_t getEra();
+    inline void setEra(::uint32_t value);
+
+    inline ::uint64_t getNewestPresent();
+    inline void setNewestPresent(::uint64_t value);
+
 private:
     ::capnp::_::StructBuilder _builder;
     template<typename, ::capnp::Kind> friend struct ::capnp::ToDynamic_;
@@ -3915,6 +3940,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t MemberRecord::Reader::getConfigurationEra() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t MemberRecord::Builder::getConfigurationEra()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void MemberRecord::Builder::setConfigurationEra(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool KeyedBlob::Reader::hasKey() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4321,6 +4360,20 @@
     _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t GossipMessage::Reader::getNewestEra() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t GossipMessage::Builder::getNewestEra()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setNewestEra(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BranchRequest::Reader::hasRequestId() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5362,6 +5415,20 @@
     _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint16_t FeedEntry::Reader::getErasBehind() const
+{
+    return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t FeedEntry::Builder::getErasBehind()
+{
+    return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FeedEntry::Builder::setErasBehind(::uint16_t value)
+{
+    _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedKind::Reader::hasKind() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5471,6 +5538,34 @@
         _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline ::uint32_t FeedKind::Reader::getEra() const
+{
+    return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t FeedKind::Builder::getEra()
+{
+    return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedKind::Builder::setEra(::uint32_t value)
+{
+    _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t FeedKind::Reader::getNewestPresent() const
+{
+    return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t FeedKind::Builder::getNewestPresent()
+{
+    return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedKind::Builder::setNewestPresent(::uint64_t value)
+{
+    _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedPage::Reader::hasKinds() const
 {
     return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Services/ragwortcrankd/MembershipLoop.cpp
+++ b/Services/ragwortcrankd/MembershipLoop.cpp
@@ -199,7 +199,7 @@
     m_history.keepCurrent();
     {
         const std::scoped_lock lock(m_mutex);
-        Membership::setConfigurationNumber(m_table, number);
+        Membership::setConfigurationNumber(m_table, {0, number});
     }
     announce();
     m_nextAnnouncement = clockNow() + secondAnnouncementDelay;
--- a/Tests/LibExchange/TestDecideFeed.cpp
+++ b/Tests/LibExchange/TestDecideFeed.cpp
@@ -15,8 +15,8 @@
 {
     feed_view view;
     view.hasSources = true;
-    view.ownNumber = 10;
-    view.announcedNumber = 10;
+    view.ownProgress.revisions = 10;
+    view.announcedProgress.revisions = 10;
     return view;
 }
 
@@ -47,7 +47,7 @@
     feed_decision_state state;
     feed_view view = followerView();
     view.sourceSince = start;
-    view.announcedNumber = 12;
+    view.announcedProgress.revisions = 12;
     bool switched = false;
     Core::time_point now = start;
     for (; now < start + 4s; now += 100ms) {
@@ -73,10 +73,10 @@
     feed_view view = followerView();
     view.sourceSince = start;
     for (Core::time_point now = start; now < start + 10s; now += 300ms) {
-        view.announcedNumber += 5;
+        view.announcedProgress.revisions += 5;
         const auto decision = decideFeed(state, view, now);
         EXPECT_FALSE(decision.watchStore || decision.switchSource);
-        view.ownNumber = view.announcedNumber - 1;
+        view.ownProgress.revisions = view.announcedProgress.revisions - 1;
     }
 }
 
@@ -110,7 +110,7 @@
     feed_view view = followerView();
     view.watchesStore = true;
     view.isWatchingStore = true;
-    view.announcedNumber = 11;
+    view.announcedProgress.revisions = 11;
     EXPECT_FALSE(decideFeed(state, view, start).refresh);
     EXPECT_TRUE(decideFeed(state, view, start + 1s).refresh);
     EXPECT_FALSE(decideFeed(state, view, start + 1100ms).refresh);
@@ -123,7 +123,7 @@
         feed_decision_state state;
         feed_view view = followerView();
         view.sourceSince = start - 10s;
-        view.announcedNumber = 12;
+        view.announcedProgress.revisions = 12;
         view.storeFallbackDelay = storeFallbackDelay;
         Core::time_point now = start;
         while (!decideFeed(state, view, now).watchStore) {
--- a/Tests/LibExchange/TestFeed.cpp
+++ b/Tests/LibExchange/TestFeed.cpp
@@ -16,12 +16,12 @@
 
 feed_update incrementalUpdate(std::uint64_t position, std::vector<feed_entry> entries)
 {
-    return {"k", position, false, std::move(entries), {}};
+    return {"k", {0, position}, false, std::move(entries), {}};
 }
 
 feed_update fullUpdate(std::uint64_t position, std::vector<feed_entry> entries)
 {
-    return {"k", position, true, std::move(entries), {}};
+    return {"k", {0, position}, true, std::move(entries), {}};
 }
 
 std::map<std::string, std::string> contentsOf(const Exchange::feed_state &state)
@@ -39,18 +39,19 @@
 TEST(Feed, RepeatedUpdateReportsNoChange)
 {
     Exchange::feed_state state;
-    EXPECT_EQ(Exchange::applyUpdate(state, fullUpdate(5, {{"a", 3, false, "one"}})).size(), 1U);
-    EXPECT_TRUE(Exchange::applyUpdate(state, fullUpdate(5, {{"a", 3, false, "one"}})).empty());
-    EXPECT_EQ(Exchange::applyUpdate(state, incrementalUpdate(6, {{"a", 6, false, "two"}})).size(), 1U);
-    EXPECT_EQ(state.position, 6U);
+    EXPECT_EQ(Exchange::applyUpdate(state, fullUpdate(5, {{"a", {0, 3}, false, "one"}})).size(), 1U);
+    EXPECT_TRUE(Exchange::applyUpdate(state, fullUpdate(5, {{"a", {0, 3}, false, "one"}})).empty());
+    EXPECT_EQ(Exchange::applyUpdate(state, incrementalUpdate(6, {{"a", {0, 6}, false, "two"}})).size(), 1U);
+    EXPECT_EQ(state.position.number, 6U);
 }
 
 /// A source that lags must not bring back removed or older entries.
 TEST(Feed, OlderUpdateChangesNothing)
 {
     Exchange::feed_state state;
-    (void)Exchange::applyUpdate(state, fullUpdate(9, {{"a", 9, false, "new"}}));
-    EXPECT_TRUE(Exchange::applyUpdate(state, fullUpdate(7, {{"a", 3, false, "old"}, {"b", 4, false, "b"}})).empty());
+    (void)Exchange::applyUpdate(state, fullUpdate(9, {{"a", {0, 9}, false, "new"}}));
+    EXPECT_TRUE(
+        Exchange::applyUpdate(state, fullUpdate(7, {{"a", {0, 3}, false, "old"}, {"b", {0, 4}, false, "b"}})).empty());
     EXPECT_EQ(contentsOf(state), (std::map<std::string, std::string> {{"a", "new"}}));
 }
 
@@ -60,8 +61,8 @@
 TEST(Feed, RemovalIsSuspectedOnlyIfListFollowsOutage)
 {
     Exchange::feed_state state;
-    (void)Exchange::applyUpdate(state, fullUpdate(5, {{"a", 3, false, "a"}, {"b", 4, false, "b"}}));
-    feed_update afterOutage = fullUpdate(8, {{"a", 3, false, "a"}});
+    (void)Exchange::applyUpdate(state, fullUpdate(5, {{"a", {0, 3}, false, "a"}, {"b", {0, 4}, false, "b"}}));
+    feed_update afterOutage = fullUpdate(8, {{"a", {0, 3}, false, "a"}});
     afterOutage.suspectedRemovalWait = std::chrono::milliseconds(1500);
     const auto changed = Exchange::applyUpdate(state, afterOutage);
     ASSERT_EQ(changed.size(), 1U);
@@ -88,7 +89,8 @@
         const bool deleted = draw(2) == 0;
         (void)Exchange::applyUpdate(
             source,
-            incrementalUpdate(revision, {{name, revision, deleted, deleted ? "" : "c" + std::to_string(revision)}}));
+            incrementalUpdate(revision,
+                              {{name, {0, revision}, deleted, deleted ? "" : "c" + std::to_string(revision)}}));
         if (draw(40) == 0) {
             const std::string page =
                 Exchange::encodeFeed({Exchange::changesAfter(source, "k", follower.position)}, now);
@@ -105,7 +107,7 @@
 {
     EXPECT_FALSE(Exchange::decodeFeed("abc", now));
     EXPECT_FALSE(Exchange::decodeFeed(std::string(64, '\xff'), now));
-    std::string page = Exchange::encodeFeed({fullUpdate(8, {{"a", 3, false, "a"}})}, now);
+    std::string page = Exchange::encodeFeed({fullUpdate(8, {{"a", {0, 3}, false, "a"}})}, now);
     std::mt19937_64 random(9);
     for (int round = 0; round < 2000; ++round) {
         std::string corrupted = page;
@@ -121,15 +123,15 @@
     std::map<std::string, Exchange::feed_state> upToDate;
     std::map<std::string, Exchange::feed_state> lagging;
     for (auto *states : {&upToDate, &lagging}) {
-        (void)Exchange::applyUpdate((*states)["one"], fullUpdate(7, {{"a", 7, false, "old"}}));
-        (void)Exchange::applyUpdate((*states)["two"], fullUpdate(83, {{"b", 83, false, "b"}}));
+        (void)Exchange::applyUpdate((*states)["one"], fullUpdate(7, {{"a", {0, 7}, false, "old"}}));
+        (void)Exchange::applyUpdate((*states)["two"], fullUpdate(83, {{"b", {0, 83}, false, "b"}}));
     }
-    EXPECT_EQ(Exchange::progressNumber(upToDate), Exchange::progressNumber(lagging));
-    (void)Exchange::applyUpdate(upToDate["one"], incrementalUpdate(67, {{"a", 67, false, "new"}}));
-    EXPECT_GT(Exchange::progressNumber(upToDate), Exchange::progressNumber(lagging));
-    const std::uint64_t before = Exchange::progressNumber(upToDate);
-    (void)Exchange::applyUpdate(upToDate["one"], incrementalUpdate(90, {{"a", 90, true, ""}}));
-    EXPECT_EQ(Exchange::progressNumber(upToDate), before) << "the number must never decrease";
+    EXPECT_EQ(Exchange::progressOf(upToDate), Exchange::progressOf(lagging));
+    (void)Exchange::applyUpdate(upToDate["one"], incrementalUpdate(67, {{"a", {0, 67}, false, "new"}}));
+    EXPECT_GT(Exchange::progressOf(upToDate), Exchange::progressOf(lagging));
+    const Exchange::feed_progress before = Exchange::progressOf(upToDate);
+    (void)Exchange::applyUpdate(upToDate["one"], incrementalUpdate(90, {{"a", {0, 90}, true, ""}}));
+    EXPECT_EQ(Exchange::progressOf(upToDate), before) << "the number must never decrease";
 }
 
 /// Guards against a daemon that learns late of a removal and takes the age of the news for zero: the age includes the
@@ -139,13 +141,13 @@
     using namespace std::chrono_literals;
     Exchange::feed_state source;
     Exchange::feed_state relay;
-    const feed_update known = incrementalUpdate(2, {{"a", 2, false, "content", {}}});
+    const feed_update known = incrementalUpdate(2, {{"a", {0, 2}, false, "content", {}}});
     for (Exchange::feed_state *state : {&source, &relay}) {
         (void)Exchange::applyUpdate(*state, known);
     }
-    (void)Exchange::applyUpdate(source, incrementalUpdate(6, {{"a", 6, true, "", now}}));
+    (void)Exchange::applyUpdate(source, incrementalUpdate(6, {{"a", {0, 6}, true, "", now}}));
     const auto overWire = [](const Exchange::feed_state &state, Core::duration sentAfter, Core::duration clockOffset) {
-        const std::string page = Exchange::encodeFeed({Exchange::changesAfter(state, "k", 1)}, now + sentAfter);
+        const std::string page = Exchange::encodeFeed({Exchange::changesAfter(state, "k", {0, 1})}, now + sentAfter);
         return Exchange::decodeFeed(page, now + sentAfter + clockOffset).value().at(0);
     };
     (void)Exchange::applyUpdate(relay, overWire(source, 700ms, 1h)); // The clocks of daemons have nothing in common.
--- a/Tests/LibExchange/TestFeedFailover.cpp
+++ b/Tests/LibExchange/TestFeedFailover.cpp
@@ -48,9 +48,11 @@
                            .refresh = []() {},
                            .onEntry =
                                [this](const std::string &, const Exchange::feed_entry &entry) {
-                                   m_known = entry.revision;
+                                   m_known = entry.revision.number;
                                    m_learnedAt = now();
                                },
+                           .isOutdated = {},
+                           .onRestored = []() {},
                            .onComplete = []() {},
                        });
         m_server = std::make_unique<Front::http_server>(
@@ -108,9 +110,9 @@
         } else if (m_isWatching) {
             m_feed->setStoreReachable(true);
             m_feed->applyUpdates({{kind,
-                                   m_store.revision,
+                                   {0, m_store.revision},
                                    true,
-                                   {{"object", m_store.revision, false, std::to_string(m_store.revision), now()}},
+                                   {{"object", {0, m_store.revision}, false, std::to_string(m_store.revision), now()}},
                                    {},
                                    now()}});
         }
--- a/Tests/LibExchange/TestFeedFollower.cpp
+++ b/Tests/LibExchange/TestFeedFollower.cpp
@@ -35,10 +35,10 @@
     {
         return {.positions =
                     []() {
-                        return std::map<std::string, std::uint64_t> {{"k", 1}};
+                        return std::map<std::string, Exchange::store_revision> {{"k", {0, 1}}};
                     },
                 .sources = [this]() { return sources(); },
-                .onUpdates = [](const std::vector<Exchange::feed_update> &) {},
+                .onUpdates = [](const std::vector<Exchange::feed_update> &) { return true; },
                 .onNoSource =
                     [this]() {
                         ++m_noSourceCount;
--- a/Tests/LibExchange/TestFeedServer.cpp
+++ b/Tests/LibExchange/TestFeedServer.cpp
@@ -19,16 +19,21 @@
         m_server.setSource(true);
     }
 
-    Front::abandon_function sendRequest(std::uint64_t position, Core::duration wait)
+    Front::abandon_function sendRequest(std::uint64_t position, Core::duration wait,
+                                        std::optional<std::uint32_t> era = std::nullopt)
     {
         Front::request_message request;
-        request.target(Exchange::feedTarget({{"k", position}}, wait));
+        request.target(Exchange::feedTarget({{"k", {0, position}}}, wait));
+        if (era) {
+            request.set(Exchange::feedErasHeader, Exchange::feedErasText({{"k", {*era, position}}}));
+        }
         return m_server.handle(request, [this](Front::answer answer) { m_answer = std::move(answer); });
     }
 
-    void applyChange(std::uint64_t position, const std::string &name)
+    void applyChange(std::uint64_t position, const std::string &name, std::uint32_t era = 0)
     {
-        (void)Exchange::applyUpdate(m_states["k"], {"k", position, false, {{name, position, false, "content"}}, {}});
+        (void)Exchange::applyUpdate(m_states["k"],
+                                    {"k", {era, position}, false, {{name, {era, position}, false, "content"}}, {}});
         m_server.notifyWaiting();
     }
 
@@ -47,7 +52,7 @@
     ASSERT_TRUE(runUntil([this]() { return m_answer.has_value(); }));
     const auto updates = Exchange::decodeFeed(m_answer->body, std::chrono::steady_clock::now());
     ASSERT_TRUE(updates);
-    EXPECT_EQ(updates->at(0).position, 4U);
+    EXPECT_EQ(updates->at(0).position.number, 4U);
     EXPECT_EQ(updates->at(0).entries.size(), 1U);
 }
 
@@ -89,6 +94,46 @@
     EXPECT_FALSE(m_answer);
 }
 
+/// A daemon that has not noticed yet that the store was restored is no source for one that has.
+TEST_F(feed_server_test, RefusesFollowerThatHasReadALaterEra)
+{
+    applyChange(40, "a", 1);
+    (void)sendRequest(4, 5s, 2);
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->status, 503U);
+}
+
+TEST_F(feed_server_test, FollowerOfAnEarlierEraLearnsOfTheRestoreAtOnce)
+{
+    applyChange(4, "a", 2);
+    (void)sendRequest(40, 5s, 1);
+    ASSERT_TRUE(m_answer);
+    const auto updates = Exchange::decodeFeed(m_answer->body, std::chrono::steady_clock::now());
+    ASSERT_TRUE(updates);
+    EXPECT_EQ(updates->at(0).position, (Exchange::store_revision {2, 4}));
+}
+
+/// Daemons of an earlier version compare the numbers alone. They must be served without a response for each request.
+TEST_F(feed_server_test, FollowerThatStatesNoEraWaitsForChanges)
+{
+    applyChange(40, "a", 3);
+    (void)sendRequest(40, 5s);
+    EXPECT_FALSE(m_answer);
+    applyChange(41, "b", 3);
+    ASSERT_TRUE(runUntil([this]() { return m_answer.has_value(); }));
+    EXPECT_EQ(Exchange::decodeFeed(m_answer->body, std::chrono::steady_clock::now())->at(0).entries.size(), 1U);
+}
+
+TEST_F(feed_server_test, MalformedErasAreRefused)
+{
+    Front::request_message request;
+    request.target("/feed/100/k/3");
+    request.set(Exchange::feedErasHeader, "x");
+    (void)m_server.handle(request, [this](Front::answer answer) { m_answer = std::move(answer); });
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->status, 400U);
+}
+
 TEST_F(feed_server_test, MalformedTargetIsRefused)
 {
     for (const char *target : {"/feed/x", "/feed/100/k/abc", "/feed/100/unknown/3", "/other"}) {
--- a/Tests/LibExchange/TestMissedChanges.cpp
+++ b/Tests/LibExchange/TestMissedChanges.cpp
@@ -15,7 +15,7 @@
 Core::duration timeUntilListed(missed_changes &state, std::uint64_t storeRevision, std::uint64_t watchedRevision)
 {
     Core::duration elapsed {};
-    while (elapsed < 60s && !shouldListAgain(state, storeRevision, watchedRevision, start + elapsed)) {
+    while (elapsed < 60s && !shouldListAgain(state, {0, storeRevision}, {0, watchedRevision}, start + elapsed)) {
         elapsed += probeInterval;
     }
     return elapsed;
@@ -27,7 +27,7 @@
 TEST(MissedChanges, ChangeThatNoWatchReportsIsFoundSoon)
 {
     missed_changes state;
-    EXPECT_FALSE(shouldListAgain(state, 100, 100, start - 10s));
+    EXPECT_FALSE(shouldListAgain(state, {0, 100}, {0, 100}, start - 10s));
     EXPECT_LE(timeUntilListed(state, 101, 100), 1s);
 }
 
@@ -36,7 +36,7 @@
 {
     missed_changes state;
     for (std::uint64_t probe = 0; probe < 1000; ++probe) {
-        EXPECT_FALSE(shouldListAgain(state, 100 + 7 * probe, 100 + 7 * probe - 7, start + probe * probeInterval));
+        EXPECT_FALSE(shouldListAgain(state, {0, 100 + 7 * probe}, {0, 93 + 7 * probe}, start + probe * probeInterval));
     }
 }
 
@@ -47,7 +47,7 @@
     int lists = 0;
     std::uint64_t watched = 100;
     for (std::uint64_t probe = 0; probe < 120; ++probe) {
-        if (shouldListAgain(state, 101 + probe, watched, start + probe * probeInterval)) {
+        if (shouldListAgain(state, {0, 101 + probe}, {0, watched}, start + probe * probeInterval)) {
             ++lists;
             watched = 101 + probe;
         }
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -1,4 +1,5 @@
 #include "LibMembership/ChooseEntries.h"
+#include "LibMembership/FeedPlan.h"
 #include "LibMembership/Gossip.h"
 #include "LibMembership/MemberTable.h"
 #include "LibMembership/Membership.h"
@@ -124,7 +125,7 @@
     const member_table suspended = daemon;
     Membership::mergeRecord(other, makeRecord("gone", 1, 5), {}, start);
     for (int round = 1; round < 100; ++round) {
-        Membership::setConfigurationNumber(other, static_cast<std::uint64_t>(round));
+        Membership::setConfigurationNumber(other, {0, static_cast<std::uint64_t>(round)});
         Membership::leave(other);
     }
     member_table resumed = suspended;
@@ -137,6 +138,23 @@
     EXPECT_TRUE(resumed.members.at("other").record.leaving);
 }
 
+/// After the store was restored from a copy, its numbers begin again lower. The other daemons must learn the new ones
+/// by digests as well as by records.
+TEST(MemberTable, NumberOfALaterEraReplacesAHigherOneOfAnEarlierEra)
+{
+    member_table daemon = makeTable("self");
+    member_table other = makeTable("other");
+    Membership::setConfigurationNumber(daemon, {1, 274});
+    exchange(daemon, other, start);
+    EXPECT_EQ(other.members.at("self").record.configurationNumber, 274U);
+    Membership::setConfigurationNumber(daemon, {2, 110});
+    exchange(daemon, other, start + 1s);
+    EXPECT_EQ(other.members.at("self").record.configuration(), (Membership::configuration_number {2, 110}));
+    EXPECT_EQ(Membership::newestNumber(other, {}, start + 1s), (Membership::configuration_number {2, 110}));
+    Membership::setConfigurationNumber(daemon, {1, 300});
+    EXPECT_EQ(daemon.self.configurationNumber, 110U);
+}
+
 TEST(MemberTable, IsIsolatedWhenNeitherStoreNorPeersRespond)
 {
     member_table table = makeTable("self");
--- a/Tests/platform/DaemonFixture.h
+++ b/Tests/platform/DaemonFixture.h
@@ -7,6 +7,7 @@
 #include "Support/RawServer.h"
 
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <functional>
--- a/Tests/platform/ObjectStore.cpp
+++ b/Tests/platform/ObjectStore.cpp
@@ -28,10 +28,11 @@
     });
 }
 
-static void reply(raw_connection &peer, int status, const std::string &body)
+void object_store::reply(raw_connection &peer, int status, const std::string &body) const
 {
-    peer.send("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-              + body);
+    const std::string era = m_era > 0 ? "Store-Era: " + std::to_string(m_era) + "\r\n" : std::string();
+    peer.send("HTTP/1.1 " + std::to_string(status) + " X\r\n" + era + "Content-Length: " + std::to_string(body.size())
+              + "\r\n\r\n" + body);
 }
 
 static std::uint64_t revisionOf(const boost::json::object &object)
@@ -99,6 +100,11 @@
 {
     m_history.clear();
     m_historyFrom = m_revision;
+    resetWatches();
+}
+
+void object_store::resetWatches()
+{
     for (const waiting_watch &waiting : m_watches) {
         if (const auto peer = waiting.peer.lock()) {
             peer->reset();
@@ -107,6 +113,21 @@
     m_watches.clear();
 }
 
+void object_store::keepCopy()
+{
+    m_copy = {m_objects, m_revision, m_history.size()};
+    m_era = std::max(m_era, 1U);
+}
+
+void object_store::restoreCopy()
+{
+    m_objects = m_copy.objects;
+    m_revision = m_copy.revision;
+    m_history.resize(std::min(m_history.size(), m_copy.historySize));
+    ++m_era;
+    resetWatches();
+}
+
 void object_store::injectFault(store_fault fault)
 {
     m_fault = fault;
@@ -232,7 +253,7 @@
 void object_store::watch(raw_connection &peer, const call &request)
 {
     const std::uint64_t after = std::stoull(request.query.at("watch"));
-    if (after < m_historyFrom) {
+    if (after < m_historyFrom || after > m_revision) {
         reply(peer, 410, "{}");
         return;
     }
--- a/Tests/platform/ObjectStore.h
+++ b/Tests/platform/ObjectStore.h
@@ -31,6 +31,10 @@
     /// Drops the history of changes and closes the waiting watches. A watch from an earlier revision then gets status
     /// 410.
     void dropHistory();
+    /// Makes a copy of the content. From then on responses state the store's era, which begins at 1.
+    void keepCopy();
+    /// Replaces the content and the revision by those of the copy, raises the era and closes the waiting watches.
+    void restoreCopy();
     void injectFault(store_fault fault);
 
     [[nodiscard]] std::string address() const;
@@ -44,6 +48,12 @@
         std::string kind;
         boost::json::object content;
     };
+    using objects_by_kind = std::map<std::string, std::map<std::string, boost::json::object>>;
+    struct copy {
+        objects_by_kind objects;
+        std::uint64_t revision = 0;
+        std::size_t historySize = 0;
+    };
     struct waiting_watch {
         std::weak_ptr<raw_connection> peer;
         std::string kind;
@@ -60,6 +70,8 @@
     };
 
     void onBytes(raw_connection &peer);
+    void reply(raw_connection &peer, int status, const std::string &body) const;
+    void resetWatches();
     void execute(raw_connection &peer, const call &request);
     void list(raw_connection &peer, const call &request);
     void watch(raw_connection &peer, const call &request);
@@ -70,7 +82,9 @@
     void tick();
     static call parse(const std::string &text);
 
-    std::map<std::string, std::map<std::string, boost::json::object>> m_objects; ///< By kind and name.
+    objects_by_kind m_objects;
+    copy m_copy;
+    unsigned m_era = 0; ///< 0: responses state none.
     std::vector<event> m_history;
     std::uint64_t m_revision = 10;
     std::uint64_t m_historyFrom = 0; ///< Watches from an earlier revision get status 410.
--- a/Tests/platform/TestObjectWatch.cpp
+++ b/Tests/platform/TestObjectWatch.cpp
@@ -43,8 +43,12 @@
             peer.reset();
             return;
         }
-        peer.send("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size())
-                  + "\r\n\r\n" + body);
+        const std::string era = m_eras.empty() ? std::string() : "Store-Era: " + m_eras.front() + "\r\n";
+        if (!m_eras.empty()) {
+            m_eras.pop_front();
+        }
+        peer.send("HTTP/1.1 " + std::to_string(status) + " X\r\n" + era
+                  + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
     bool callsReach(std::size_t count)
@@ -65,6 +69,7 @@
                             answer(peer);
                         }};
     std::deque<std::pair<int, std::string>> m_answers;
+    std::deque<std::string> m_eras; ///< Values of the header with the era, by response.
     std::vector<std::string> m_calls;
     std::vector<Exchange::feed_update> m_updates;
     std::optional<bool> m_reachable;
@@ -96,7 +101,7 @@
     EXPECT_TRUE(m_calls[1].starts_with("/api/objects/things?watch=7&"));
     EXPECT_TRUE(m_calls[2].starts_with("/api/objects/things?watch=9&"));
     ASSERT_EQ(m_updates.size(), 2U);
-    EXPECT_EQ(m_updates[1].entries.at(0).revision, 8U);
+    EXPECT_EQ(m_updates[1].entries.at(0).revision, (Exchange::store_revision {0, 8}));
 }
 
 TEST_F(object_watch_test, ListsAgainWhenHistoryIsGone)
@@ -195,3 +200,57 @@
     ASSERT_TRUE(callsReach(2));
     EXPECT_EQ(m_calls[1], "/api/objects/things?after=a%20b%26c");
 }
+
+/// Guards against a watch that goes on from a revision that the store has given out again after it was restored from a
+/// copy: the changes up to there would be lost.
+TEST_F(object_watch_test, ListsAgainWhenWatchIsAnsweredInALaterEra)
+{
+    m_answers = {emptyList,
+                 {200, R"({"events": [{"object": )" + object("b", 8) + R"(, "deleted": false}], "store-revision": 8})"},
+                 {200, R"({"items": [)" + object("a", 3) + R"(], "has-more": false, "store-revision": 8})"}};
+    m_eras = {"1", "2", "2"};
+    m_watch->start();
+    ASSERT_TRUE(callsReach(4));
+    EXPECT_EQ(m_calls[2], "/api/objects/things");
+    ASSERT_EQ(m_updates.size(), 2U);
+    EXPECT_EQ(m_updates[1].position, (Exchange::store_revision {2, 8}));
+    EXPECT_EQ(m_updates[1].entries.at(0).revision, (Exchange::store_revision {2, 3}));
+}
+
+TEST_F(object_watch_test, ListsAgainWhenTheStoreIsRestoredBetweenTwoPages)
+{
+    m_answers = {{200, R"({"items": [)" + object("a", 1) + R"(], "has-more": true, "store-revision": 9})"},
+                 {200, R"({"items": [)" + object("b", 6) + R"(], "has-more": false, "store-revision": 7})"},
+                 {200, R"({"items": [)" + object("c", 6) + R"(], "has-more": false, "store-revision": 7})"}};
+    m_eras = {"1", "2", "2"};
+    m_watch->start();
+    ASSERT_TRUE(callsReach(4));
+    ASSERT_EQ(m_updates.size(), 1U);
+    ASSERT_EQ(m_updates[0].entries.size(), 1U);
+    EXPECT_EQ(m_updates[0].entries[0].name, "c");
+}
+
+TEST_F(object_watch_test, ResponseOfAnEarlierEraIsDropped)
+{
+    m_answers = {emptyList,
+                 {410, "{}"},
+                 {200, R"({"items": [)" + object("a", 60) + R"(], "has-more": false, "store-revision": 60})"},
+                 emptyList};
+    m_eras = {"2", "2", "1", "2"};
+    m_watch->start();
+    ASSERT_TRUE(callsReach(5));
+    ASSERT_EQ(m_updates.size(), 2U);
+    EXPECT_TRUE(m_updates[1].entries.empty());
+}
+
+TEST_F(object_watch_test, EraThatCannotBeReadChangesNothing)
+{
+    m_answers = {
+        emptyList,
+        {200, R"({"events": [{"object": )" + object("a", 8) + R"(, "deleted": false}], "store-revision": 9})"}};
+    m_eras = {"3", "soon"};
+    m_watch->start();
+    ASSERT_TRUE(callsReach(3));
+    EXPECT_TRUE(m_calls[2].starts_with("/api/objects/things?watch=9&"));
+    EXPECT_EQ(m_updates.at(1).position, (Exchange::store_revision {3, 9}));
+}
