LibExchange: Tell changes only after positions from which all are known

Cause: a state that began with a list holds no removals of before it, but answered a follower at any position with the entries it had (`evictedUpTo` was 0). The follower took the position over, and the removal was lost for good. A list after a 410 or after a watch without events, and what a peer relays, skip objects that were created and removed in between in the same way; the removal of an object that this daemon never had was not kept; an object that came back with the same content kept its old revision; after a restore an older revision can undo a change.

Change: a state records the positions after which it knows every change, those at which it was itself and those it has watched the store over (`knowsChangesAfter`); a follower at another position gets a full list. A steady follower is always at one of them.

Feed.AgeOfEntries... asks from revision 2, where its follower is, instead of 1, where no daemon was.

--- a/Libraries/LibExchange/FeedEvents.cpp
+++ b/Libraries/LibExchange/FeedEvents.cpp
@@ -12,6 +12,9 @@
 
 /// Number of deleted entries kept, so that a daemon that lags a little gets only the changes instead of a full list.
 static constexpr std::size_t maximumDeletedEntries = 500;
+/// Lists follow each other after 25 s or, if changes are missed, after 2 s. A daemon that lags further gets a full
+/// list.
+static constexpr std::size_t maximumCoveredRanges = 64;
 /// Objects that a restored store lacks are written again within 2 s if their writers are alive; the rest is latency.
 static constexpr Core::duration restoreSuspicionTime = 2300ms;
 
@@ -34,13 +37,27 @@
     }
 }
 
-static bool hasSameContent(const feed_state &state, const feed_entry &entry)
+static bool hasSameContent(const feed_entry &existing, const feed_entry &entry)
 {
-    const auto existing = state.entries.find(entry.name);
-    if (existing == state.entries.end()) {
-        return entry.deleted;
+    return existing.deleted == entry.deleted && (entry.deleted || existing.content == entry.content);
+}
+
+static void recordPosition(feed_state &state, const feed_update &update)
+{
+    std::vector<revision_range> &covered = state.coveredPositions;
+    const bool isWatchedFromHere = update.since && !covered.empty() && *update.since <= state.position
+        && update.since->era == state.position.era && update.position.era == state.position.era;
+    state.position = update.position;
+    if (isWatchedFromHere) {
+        covered.back().last = update.position;
+        return;
+    }
+    if (covered.empty() || covered.back().last < update.position) {
+        covered.push_back({update.position, update.position});
+    }
+    if (covered.size() > maximumCoveredRanges) {
+        covered.erase(covered.begin());
     }
-    return existing->second.deleted == entry.deleted && (entry.deleted || existing->second.content == entry.content);
 }
 
 /// Returns whether the entry was replaced or deleted after it was written, so that it stems from a copy of the store.
@@ -74,16 +91,29 @@
             state.highestPresentRevision = std::max(state.highestPresentRevision, entry.revision.number);
         }
         const auto existing = state.entries.find(entry.name);
+        if (existing == state.entries.end() && entry.deleted) {
+            // This daemon has never had the object, but one that follows it may.
+            state.entries.emplace(entry.name, std::move(entry));
+            return;
+        }
         if (existing != state.entries.end() && isFromOlderCopy(existing->second, entry, isOutdated)) {
             existing->second.revision = entry.revision;
             return;
         }
-        if (hasSameContent(state, entry)) {
+        if (existing != state.entries.end() && hasSameContent(existing->second, entry)) {
+            // The object may have been away or back in between. In a list of a new era all numbers are new.
+            if (!update.isFullList || entry.revision.era == existing->second.revision.era) {
+                existing->second.revision = std::max(existing->second.revision, entry.revision);
+            }
             return;
         }
         if (entry.deleted) {
             entry.removedContent = existing->second.content;
         }
+        if (entry.revision <= state.position) {
+            // A restore has undone later changes. Daemons that follow this one from its present position lack that.
+            entry.revision = update.position;
+        }
         changed.push_back(entry);
         state.entries[entry.name] = std::move(entry);
     };
@@ -109,7 +139,7 @@
         }
     }
     state.highestPresentRevision = std::max(state.highestPresentRevision, update.newestPresent);
-    state.position = update.position;
+    recordPosition(state, update);
     evictOldDeletions(state);
     return changed;
 }
@@ -124,22 +154,29 @@
     return progress;
 }
 
+bool knowsChangesAfter(const feed_state &state, store_revision position)
+{
+    return position >= state.evictedUpTo
+        && std::any_of(state.coveredPositions.begin(), state.coveredPositions.end(),
+                       [&](const revision_range &range) { return range.first <= position && position <= range.last; });
+}
+
 bool hasChangesAfter(const feed_state &state, store_revision position)
 {
-    if (position.number == 0 && state.position.number > 0) {
-        return true;
-    }
     // In a new era all numbers are new, so that the position is news as well.
-    return position.era < state.position.era
-        || std::any_of(state.entries.begin(), state.entries.end(),
-                       [&](const auto &entry) { return entry.second.revision > position; });
+    const bool isNews =
+        position < state.position && (position.era < state.position.era || !knowsChangesAfter(state, position));
+    return isNews || std::any_of(state.entries.begin(), state.entries.end(), [&](const auto &entry) {
+               return entry.second.revision > position;
+           });
 }
 
 feed_update changesAfter(const feed_state &state, const std::string &kind, store_revision position)
 {
+    // There is nothing to tell a daemon that is ahead.
     feed_update update {kind,
                         state.position,
-                        position.number == 0 || position < state.evictedUpTo,
+                        position < state.position && !knowsChangesAfter(state, position),
                         {},
                         {},
                         {},
--- a/Libraries/LibExchange/FeedEvents.h
+++ b/Libraries/LibExchange/FeedEvents.h
@@ -29,9 +29,15 @@
 /// It decreases only while some kinds have been read in a new era and others have not.
 [[nodiscard]] feed_progress progressOf(const std::map<std::string, feed_state> &states);
 
-/// Returns whether the state holds changes that a daemon lacks that has read the kind up to `position`.
+/// Returns whether the state tells every change that a daemon lacks that has read the kind up to `position`: this
+/// daemon was at that position itself, or has watched the store from there on. It has not seen what was created and
+/// removed between two positions from one of which it went to the other by a list.
+[[nodiscard]] bool knowsChangesAfter(const feed_state &state, store_revision position);
+
+/// Returns whether the state holds changes that a daemon may lack that has read the kind up to `position`.
 [[nodiscard]] bool hasChangesAfter(const feed_state &state, store_revision position);
 
-/// Returns the update for a daemon that has read the kind up to `position`.
+/// Returns the update for a daemon that has read the kind up to `position`: the changes, or a full list if they are not
+/// known.
 [[nodiscard]] feed_update changesAfter(const feed_state &state, const std::string &kind, store_revision position);
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedState.h
+++ b/Libraries/LibExchange/FeedState.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "LibExchange/FeedEntry.h"
+#include "LibExchange/RevisionRange.h"
 #include "LibExchange/StoreRevision.h"
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Exchange
 {
@@ -16,5 +18,8 @@
     /// In the era of the position, the highest revision of any entry that was not deleted.
     std::uint64_t highestPresentRevision = 0;
     store_revision evictedUpTo; ///< Deleted entries up to this revision may have been evicted.
+    /// The positions after which this daemon knows every change, in ascending order; see `knowsChangesAfter`. The last
+    /// one ends at `position`.
+    std::vector<revision_range> coveredPositions;
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedUpdate.h
+++ b/Libraries/LibExchange/FeedUpdate.h
@@ -4,6 +4,7 @@
 #include "LibExchange/StoreRevision.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,5 +22,8 @@
     Core::time_point receivedAt {}; ///< When this daemon received the update.
     /// In the era of the position, the highest revision of any entry that the sender has had and that was not deleted.
     std::uint64_t newestPresent = 0;
+    /// Set if the update holds every single change after this position, as a watch of the store does. A list, and what
+    /// another daemon relays, shows only what has changed on the whole.
+    std::optional<store_revision> since {};
 };
 } // namespace Exchange
--- a/Tests/LibExchange/TestFeed.cpp
+++ b/Tests/LibExchange/TestFeed.cpp
@@ -147,7 +147,7 @@
     }
     (void)Exchange::applyUpdate(source, incrementalUpdate(6, {{"a", {0, 6}, true, "", now}}));
     const auto overWire = [](const Exchange::feed_state &state, Core::duration sentAfter, Core::duration clockOffset) {
-        const std::string page = Exchange::encodeFeed({Exchange::changesAfter(state, "k", {0, 1})}, now + sentAfter);
+        const std::string page = Exchange::encodeFeed({Exchange::changesAfter(state, "k", {0, 2})}, now + sentAfter);
         return Exchange::decodeFeed(page, now + sentAfter + clockOffset).value().at(0);
     };
     (void)Exchange::applyUpdate(relay, overWire(source, 700ms, 1h)); // The clocks of daemons have nothing in common.
@@ -158,3 +158,60 @@
     ASSERT_EQ(removed.size(), 1U);
     EXPECT_EQ(removed[0].learnedAt, now + 30min);
 }
+
+/// Guards against a removal that followers never learn of. A daemon that has just started has no removals of before its
+/// first list, and gave a follower that was behind that list only what it had.
+TEST(Feed, DaemonThatHasJustStartedGivesAFullListToAFollowerThatIsBehind)
+{
+    Exchange::feed_state follower;
+    (void)Exchange::applyUpdate(follower, fullUpdate(5, {{"a", {0, 3}, false, "a"}, {"b", {0, 4}, false, "b"}}));
+    Exchange::feed_state started;
+    (void)Exchange::applyUpdate(started, fullUpdate(8, {{"a", {0, 3}, false, "a"}}));
+    ASSERT_TRUE(Exchange::hasChangesAfter(started, follower.position));
+    const auto changed = Exchange::applyUpdate(follower, Exchange::changesAfter(started, "k", follower.position));
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_TRUE(changed[0].deleted);
+}
+
+/// The same for a daemon that lists again: an object that was created and removed in between is in neither list.
+TEST(Feed, PositionsThatAListWentOverAreAnsweredWithAFullList)
+{
+    Exchange::feed_state source;
+    (void)Exchange::applyUpdate(source, fullUpdate(5, {}));
+    (void)Exchange::applyUpdate(source, fullUpdate(9, {}));
+    Exchange::feed_state follower;
+    (void)Exchange::applyUpdate(follower, fullUpdate(7, {{"a", {0, 6}, false, "a"}}));
+    EXPECT_TRUE(Exchange::hasChangesAfter(source, follower.position));
+    (void)Exchange::applyUpdate(follower, Exchange::changesAfter(source, "k", follower.position));
+    EXPECT_TRUE(contentsOf(follower).empty());
+    EXPECT_FALSE(Exchange::changesAfter(source, "k", {0, 5}).isFullList) << "the source was there itself";
+}
+
+/// Full lists are large; a daemon that changes its source must not need one as a rule.
+TEST(Feed, PositionsThatWereWatchedAreAnsweredWithChanges)
+{
+    Exchange::feed_state source;
+    (void)Exchange::applyUpdate(source, fullUpdate(5, {{"a", {0, 3}, false, "a"}}));
+    for (std::uint64_t revision = 6; revision < 20; ++revision) {
+        feed_update watched = incrementalUpdate(revision, {{"b", {0, revision}, revision % 2 == 0, ""}});
+        watched.since = Exchange::store_revision {0, revision - 1};
+        (void)Exchange::applyUpdate(source, watched);
+    }
+    for (std::uint64_t position = 5; position < 20; ++position) {
+        EXPECT_FALSE(Exchange::changesAfter(source, "k", {0, position}).isFullList) << position;
+    }
+    EXPECT_TRUE(Exchange::changesAfter(source, "k", {0, 4}).isFullList);
+}
+
+/// A daemon that never had an object passes its removal on all the same.
+TEST(Feed, RemovalOfAnUnknownObjectIsRelayed)
+{
+    Exchange::feed_state source;
+    (void)Exchange::applyUpdate(source, fullUpdate(5, {}));
+    feed_update watched = incrementalUpdate(9, {{"a", {0, 9}, true, ""}});
+    watched.since = Exchange::store_revision {0, 5};
+    EXPECT_TRUE(Exchange::applyUpdate(source, watched).empty());
+    const feed_update relayed = Exchange::changesAfter(source, "k", {0, 7});
+    ASSERT_EQ(relayed.entries.size(), 1U);
+    EXPECT_TRUE(relayed.entries[0].deleted);
+}
