LibFront: Forward no unproven refusal of a request that may run once

Cause: a response was classified without the kind of its request: 503 without the statement was a failure that is forwarded as it is, 429 and 408 were successes, and 421 always counted as not executed, also with a digest. Ruled out: the daemon's own 503, which needs the proof of every attempt; parts of a gather, which end as 502 (both have tests).

Change: classifyReply and mayForward take the kind of the request. Of a request that may run once such a status ends as 502 without the digest (MIXED forbids it beside another status), and replica_refusal_unproven says which replica answered what.

mergedAnswer moves to a file of its own, without a change.

--- a/Libraries/LibFront/ReplyClass.cpp
+++ b/Libraries/LibFront/ReplyClass.cpp
@@ -15,26 +15,38 @@
 
 static constexpr unsigned misdirectedRequestStatus = 421;
 
-reply_class classifyReply(const reply_message &reply, const header_names &names, bool isShardRequest)
+bool promisesNotExecuted(unsigned status)
+{
+    constexpr std::array<unsigned, 4> statuses {408, misdirectedRequestStatus, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
+bool mayForward(const reply_message &reply, request_kind kind)
+{
+    return kind != request_kind::AtMostOnce || !promisesNotExecuted(reply.result_int());
+}
+
+reply_class classifyReply(const reply_message &reply, const header_names &names, request_kind kind)
 {
     if (hasContradictoryFields(reply, names.digest)) {
         return reply_class::Malformed;
     }
     const unsigned status = reply.result_int();
-    if (status == misdirectedRequestStatus) {
+    // The digest proves that the replica has worked on the request.
+    if (status == misdirectedRequestStatus && reply.count(names.digest) == 0) {
         return reply_class::OtherInstance;
     }
     if (reply.count(names.notExecuted) > 0) {
         return reply_class::NotExecuted;
     }
-    if (status >= 500) {
+    if (status >= 500 || !mayForward(reply, kind)) {
         return reply_class::Failure;
     }
     const bool isSuccess = status / 100 == 2;
     if (isSuccess && (reply.count(names.digest) == 0 || reply.count(http::field::content_encoding) > 0)) {
         return reply_class::Malformed;
     }
-    return isSuccess || !isShardRequest ? reply_class::Success : reply_class::Failure;
+    return isSuccess || kind != request_kind::Part ? reply_class::Success : reply_class::Failure;
 }
 
 Forward::attempt_failure failureOf(reply_class kind)
--- a/Libraries/LibFront/ReplyClass.h
+++ b/Libraries/LibFront/ReplyClass.h
@@ -5,6 +5,7 @@
 #include "LibForward/LoadReport.h"
 #include "LibFront/Answer.h"
 #include "LibFront/HttpTypes.h"
+#include "LibFront/RequestKind.h"
 
 #include <optional>
 #include <string_view>
@@ -22,7 +23,14 @@
     Malformed, ///< See response_fault::Content.
 };
 
-[[nodiscard]] reply_class classifyReply(const reply_message &reply, const header_names &names, bool isShardRequest);
+[[nodiscard]] reply_class classifyReply(const reply_message &reply, const header_names &names, request_kind kind);
+
+/// Returns whether a caller takes the status as a promise that the request was not executed and never will be.
+[[nodiscard]] bool promisesNotExecuted(unsigned status);
+
+/// Returns whether the response of a replica that does not state `header_names::notExecuted` may be forwarded. The
+/// caller of a request that may run once would send it again after a status that promises that it was not executed.
+[[nodiscard]] bool mayForward(const reply_message &reply, request_kind kind);
 
 /// Returns the attempt failure for a class other than Success.
 [[nodiscard]] Forward::attempt_failure failureOf(reply_class kind);
--- a/Libraries/LibFront/RequestTask.cpp
+++ b/Libraries/LibFront/RequestTask.cpp
@@ -11,6 +11,7 @@
 #include "LibForward/TrafficConfiguration.h"
 #include "LibFront/ExchangeResult.h"
 #include "LibFront/FrontEnvironment.h"
+#include "LibFront/MergedAnswer.h"
 #include "LibFront/ReplicaReport.h"
 #include "LibFront/ReplyClass.h"
 #include "LibFront/ResponseFault.h"
@@ -128,12 +129,12 @@
 void request_task::handleReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply,
                                Core::time_point now)
 {
-    const reply_class kind = classifyReply(reply, m_environment.names, m_request.plan.matched->isScatterGather());
+    const reply_class kind = classifyReply(reply, m_environment.names, kindOf(*m_request.plan.matched));
     recordReplicaReport(m_environment, sent.replica, reply, kind, now);
     if (kind != reply_class::Success) {
         const Forward::attempt_failure failure = failureOf(kind);
         if (kind == reply_class::Failure && !m_request.finished) {
-            m_singleReply = std::move(reply);
+            keepFailedReply(sent, std::move(reply));
         }
         if (kind == reply_class::Malformed) {
             recordInvalidResponse(sent, response_fault::Content);
@@ -162,6 +163,19 @@
     applyEffects(Forward::onAnswer(m_request, m_environment.forward, attempt, std::move(partialResult), now), now);
 }
 
+void request_task::keepFailedReply(const open_attempt &sent, reply_message &&reply)
+{
+    if (mayForward(reply, kindOf(*m_request.plan.matched))) {
+        m_singleReply = std::move(reply);
+        return;
+    }
+    m_environment.log.write(
+        "replica_refusal_unproven",
+        {{"request", m_requestId},
+         {"replica", Forward::replicaAt(m_environment.forward.replicaTable, sent.replica).registration.id},
+         {"status", reply.result_int()}});
+}
+
 void request_task::handleFailure(std::uint32_t attempt, const open_attempt &sent, Forward::attempt_failure failure,
                                  Core::time_point now)
 {
@@ -283,39 +297,19 @@
     cancelAfterDelay(redundantAttemptGracePeriod);
 }
 
-answer request_task::mergedAnswer()
-{
-    answer result;
-    result.status = 200;
-    std::string digests;
-    std::vector<std::string_view> partialRecords;
-    std::size_t missing = 0;
-    for (const Forward::subrequest_state &subrequest : m_request.subrequests) {
-        if (!subrequest.answer) {
-            ++missing;
-            continue;
-        }
-        digests += digests.empty() ? "" : ", ";
-        digests += subrequest.answer->digest;
-        partialRecords.push_back(subrequest.answer->records);
-    }
-    result.headers.emplace_back(m_environment.names.requestId, m_requestId);
-    result.headers.emplace_back(m_environment.names.shardDigests, std::move(digests));
-    result.headers.emplace_back(m_environment.names.missingShards, std::to_string(missing));
-    result.body = Forward::selectTopRecords(partialRecords, m_request.plan.matched->topRecords);
-    return result;
-}
-
 answer request_task::makeAnswer(Forward::request_outcome outcome)
 {
     switch (outcome) {
     case Forward::request_outcome::Answered:
         if (m_request.plan.matched->isScatterGather()) {
-            return mergedAnswer();
+            return mergedAnswer(m_request, m_requestId, m_environment.names);
         }
         return makeForwardedAnswer(std::move(*m_singleReply));
     case Forward::request_outcome::ReplicaFailed:
-        return makeForwardedAnswer(std::move(*m_singleReply));
+        if (m_singleReply) {
+            return makeForwardedAnswer(std::move(*m_singleReply));
+        }
+        return errorAnswer(502, "the replica has not proved that it did not run the request");
     case Forward::request_outcome::NotRun: {
         answer refusal = errorAnswer(503, "no replica can take the request now; it has not run");
         const Core::duration delay =
--- a/Libraries/LibFront/RequestTask.h
+++ b/Libraries/LibFront/RequestTask.h
@@ -45,6 +45,8 @@
     void handleReply(std::uint32_t attempt, const open_attempt &sent, reply_message &&reply, Core::time_point now);
     void handleFailure(std::uint32_t attempt, const open_attempt &sent, Forward::attempt_failure failure,
                        Core::time_point now);
+    /// Keeps the response of a replica that failed for the caller, or logs why it must not be forwarded.
+    void keepFailedReply(const open_attempt &sent, reply_message &&reply);
     /// Counts and logs that a replica sent bytes that are not used as its response.
     void recordInvalidResponse(const open_attempt &sent, response_fault fault);
     /// Records a response or failure for the service's rollout, if one is running.
@@ -60,7 +62,6 @@
     void cancelOpenAttempts(Core::time_point now);
     void finish(Forward::request_outcome outcome, Core::time_point now);
     [[nodiscard]] answer makeAnswer(Forward::request_outcome outcome);
-    [[nodiscard]] answer mergedAnswer();
     void recordOutcome(Forward::request_outcome outcome, Core::time_point now);
 
     front_environment &m_environment;
--- a/Tests/LibFront/TestReplyClass.cpp
+++ b/Tests/LibFront/TestReplyClass.cpp
@@ -49,3 +49,64 @@
     EXPECT_TRUE(announces({"yes"}));
     EXPECT_TRUE(announces({"0", "1"}));
 }
+
+namespace
+{
+using Front::reply_class;
+using Front::request_kind;
+
+Front::header_names sampleNames()
+{
+    Front::header_names names;
+    names.digest = "Digest";
+    names.notExecuted = "Refused";
+    return names;
+}
+
+Front::reply_message replyWith(unsigned status, std::initializer_list<const char *> fields)
+{
+    Front::reply_message reply;
+    reply.result(status);
+    for (const char *field : fields) {
+        reply.insert(field, "1");
+    }
+    return reply;
+}
+} // namespace
+
+/// Guards against a replica's status that a caller takes as a promise that the request was not executed, although only
+/// the replica's own statement proves that.
+TEST(ReplyClass, StatusAloneDoesNotProveThatARequestWasNotExecuted)
+{
+    for (const unsigned status : {408U, 421U, 429U, 503U}) {
+        const Front::reply_message reply = replyWith(status, {"Digest"});
+        EXPECT_EQ(Front::classifyReply(reply, sampleNames(), request_kind::AtMostOnce), reply_class::Failure) << status;
+        EXPECT_FALSE(Front::mayForward(reply, request_kind::AtMostOnce)) << status;
+        EXPECT_TRUE(Front::mayForward(reply, request_kind::Idempotent)) << status;
+        const Front::reply_message stated = replyWith(status, {"Refused"});
+        EXPECT_NE(Front::classifyReply(stated, sampleNames(), request_kind::AtMostOnce), reply_class::Failure)
+            << status;
+    }
+    for (const unsigned status : {200U, 404U, 409U, 500U, 502U, 504U}) {
+        EXPECT_TRUE(Front::mayForward(replyWith(status, {"Digest"}), request_kind::AtMostOnce)) << status;
+    }
+}
+
+TEST(ReplyClass, FailureIsNoPartOfAMergedResponse)
+{
+    for (const unsigned status : {404U, 408U, 429U, 500U, 503U}) {
+        EXPECT_EQ(Front::classifyReply(replyWith(status, {"Digest"}), sampleNames(), request_kind::Part),
+                  reply_class::Failure)
+            << status;
+    }
+}
+
+/// A replica that has the address of another one refuses with 421; one that has worked on the request proves it by its
+/// digest.
+TEST(ReplyClass, MisdirectedRequestWithADigestWasExecuted)
+{
+    for (const request_kind kind : {request_kind::Idempotent, request_kind::AtMostOnce, request_kind::Part}) {
+        EXPECT_EQ(Front::classifyReply(replyWith(421, {}), sampleNames(), kind), reply_class::OtherInstance);
+        EXPECT_NE(Front::classifyReply(replyWith(421, {"Digest"}), sampleNames(), kind), reply_class::OtherInstance);
+    }
+}
