LibExchange: Log why a daemon reads the store, and what it relays

The users' logs show feed_source_lost with 503 every 5.1 s, but not why the sources refused, why a daemon took or gave up the store, and from which position a source answered, so that the hypotheses (a store that refuses some, sources that are behind, a failure mark that stays) can't be told apart.

Change: `feed` states its reason, `feed_relay` when a daemon begins or ceases to be a source and by which marks, `feed_list` each full list after the first with both revisions. Updates dropped as older have feed_update_dropped already.

--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -46,6 +46,7 @@
         storeFallbackLag + std::min<Core::duration>(view.storeFallbackDelay, maximumFallbackDelay);
     if (!view.hasPeerContact || (isSourceLagging && lag > fallbackLag)) {
         state.watchStoreUntil = now + storeFallbackDuration;
+        state.watchReason = view.hasPeerContact ? feed_reason::Lagging : feed_reason::NoPeerContact;
     }
     // A suspended source still holds the request, and no number shows that it lacks a removal.
     const bool hasSilentSource = view.isSourceSilent && !view.isWatchingStore;
@@ -57,8 +58,14 @@
         state.watchStoreUntil = now;
     }
     decision.watchStore = view.watchesStore || now < state.watchStoreUntil || !view.hasSources;
+    if (!view.hasSources) {
+        decision.reason = feed_reason::NoSources;
+    } else if (!view.watchesStore && now < state.watchStoreUntil) {
+        decision.reason = state.watchReason;
+    }
     if (canFollow && now < state.followUntil) {
         decision.watchStore = false;
+        decision.reason = feed_reason::StoreUnreachable;
     }
     if (lag > sourceSwitchLag && decision.watchStore && view.isWatchingStore
         && now - state.refreshedAt > minimumRefreshInterval) {
@@ -71,6 +78,7 @@
 void recordNoSource(feed_decision_state &state, Core::time_point now)
 {
     state.watchStoreUntil = std::max(state.watchStoreUntil, now + storeFallbackDuration);
+    state.watchReason = feed_reason::NoSourceAnswers;
     state.followUntil = now;
     state.noSourceUntil = now + sourceSearchPause;
 }
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -163,6 +163,14 @@
         applyUpdate(state, update, [&](const feed_entry &known, const feed_entry &received) {
             return m_hooks.isOutdated && m_hooks.isOutdated(update.kind, known, received);
         });
+    if (update.isFullList && before.number > 0) {
+        m_log.write("feed_list",
+                    {{"kind", update.kind},
+                     {"source", m_isWatchingStore ? "store" : m_follower.source()},
+                     {"revision_before", before.number},
+                     {"revision", update.position.number},
+                     {"changes", changed.size()}});
+    }
     const bool isNewEra = before.era > 0 && state.position.era > before.era;
     if (isNewEra) {
         recordEra(state, update.kind, before, changed.size());
@@ -255,7 +263,16 @@
 
 void feed_control::updateSourceRole(Core::time_point now)
 {
-    m_server.setSource(m_isWatchingStore && canRelayUpdates(m_storeContact, now));
+    const bool isSource = m_isWatchingStore && canRelayUpdates(m_storeContact, now);
+    if (isSource != m_isSource) {
+        m_isSource = isSource;
+        m_log.write("feed_relay",
+                    {{"on", isSource},
+                     {"watching", m_isWatchingStore},
+                     {"failing", m_storeContact.failingSince.has_value()},
+                     {"silent", m_storeContact.silentSince.has_value()}});
+    }
+    m_server.setSource(isSource);
 }
 
 void feed_control::decide(Core::time_point now)
@@ -281,9 +298,9 @@
     const feed_decision decision = decideFeed(m_decisionState, view, now);
     updateSourceRole(now);
     if (decision.watchStore && !m_isWatchingStore) {
-        startWatchingStore();
+        startWatchingStore(decision.reason);
     } else if (!decision.watchStore && m_isWatchingStore) {
-        startFollowing();
+        startFollowing(decision.reason);
     } else if (!m_isWatchingStore && !m_follower.isFollowing() && !m_isStartScheduled) {
         m_follower.start();
     }
@@ -301,18 +318,18 @@
     }
 }
 
-void feed_control::startWatchingStore()
+void feed_control::startWatchingStore(feed_reason reason)
 {
-    m_log.write("feed", {{"from", "store"}});
+    m_log.write("feed", {{"from", "store"}, {"reason", feedReasonName(reason)}});
     m_isWatchingStore = true;
     m_storeContact.watchingSince = std::chrono::steady_clock::now();
     m_follower.stop();
     m_hooks.startStoreWatches();
 }
 
-void feed_control::startFollowing()
+void feed_control::startFollowing(feed_reason reason)
 {
-    m_log.write("feed", {{"from", "peers"}});
+    m_log.write("feed", {{"from", "peers"}, {"reason", feedReasonName(reason)}});
     m_isWatchingStore = false;
     m_hooks.stopStoreWatches();
     updateSourceRole(std::chrono::steady_clock::now());
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -4,6 +4,7 @@
 #include "LibExchange/FeedDecisionState.h"
 #include "LibExchange/FeedFollower.h"
 #include "LibExchange/FeedProgress.h"
+#include "LibExchange/FeedReason.h"
 #include "LibExchange/FeedServer.h"
 #include "LibExchange/StoreContact.h"
 
@@ -58,8 +59,8 @@
     /// Returns whether the heartbeats of the daemon with this peer address have stopped.
     [[nodiscard]] bool isSilent(const std::string &source, Core::time_point now) const;
     void onNoSource(Core::time_point now);
-    void startWatchingStore();
-    void startFollowing();
+    void startWatchingStore(feed_reason reason);
+    void startFollowing(feed_reason reason);
     /// Applies updates from a source. Returns whether the source has read the store in the latest era.
     bool applyRelayed(std::vector<feed_update> updates);
     /// Applies an update to the copy of its kind. Returns whether an entry or the era has changed.
@@ -83,6 +84,7 @@
     std::uint32_t m_restoredEra = 0; ///< The era of the latest restore that this daemon has noticed; 0 if none.
     bool m_isSeed; ///< This daemon is a seed, which new daemons ask first.
     bool m_isWatchingStore = false;
+    bool m_isSource = false; ///< It relays updates to followers.
     bool m_isComplete = false;
     bool m_isAssignedToStore = false;
     bool m_isStartScheduled = false; ///< No source answers; the next attempt is scheduled.
