platform, LibExchange: End a failure of the store with its next answer

What callers saw (the users' own runs; suspected, see below): configurations that are late and requests to replicas that have left, beside feed_source_lost with 503 from the same two sources every 5.1 s.

Cause: a watch told of the end of failures only if it remembered its own. A probe that was answered before the watch's retry started the watch again, which forgot them, so that store_contact::failingSince stayed set: the daemon refused its followers, found the store unreachable, and was refused by its peers for the same reason. A daemon that gave up its watches while they failed kept the mark as well. Ruled out: a store that refuses some daemons, and sources that are behind (the lists in the same log).

Change: the daemon is told of every call, by kind, and a failure ends with an answer to the same kind; a watch keeps its failures when it is started again, so that removals after such an outage are suspected ones. The same class elsewhere: an announced progress of a daemon that is gone was awaited for good; the start of a search for sources outlived the search.

That this is what the users met is not shown.

Changed tests: the fixture's hooks follow the new one; DeletionAfterOutageIsSuspected checks the same.

--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -27,7 +27,8 @@
 /// the meantime don't restart the measurement: while objects change steadily, some update is always in flight.
 static Core::duration measureLag(feed_decision_state &state, const feed_view &view, Core::time_point now)
 {
-    if (view.ownProgress >= state.awaitedProgress) {
+    // The daemon that announced what is awaited may be gone.
+    if (view.ownProgress >= state.awaitedProgress || view.announcedProgress < state.awaitedProgress) {
         state.awaitedProgress = view.announcedProgress;
         state.awaitedSince = now;
     }
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -228,13 +228,12 @@
     }
 }
 
-void feed_control::setStoreReachable(bool reachable)
+void feed_control::recordStoreCall(const std::string &kind, bool isAnswered)
 {
     const Core::time_point now = std::chrono::steady_clock::now();
-    if (reachable) {
-        recordStoreAnswer(m_storeContact);
-    } else {
-        recordStoreFailure(m_storeContact, now);
+    if (isAnswered) {
+        recordStoreAnswer(m_storeContact, kind);
+    } else if (recordStoreFailure(m_storeContact, kind, now)) {
         m_timers.schedule(relayCheckTime(now), [this](Core::time_point due) { updateSourceRole(due); });
     }
     updateSourceRole(now);
@@ -269,7 +268,7 @@
         m_log.write("feed_relay",
                     {{"on", isSource},
                      {"watching", m_isWatchingStore},
-                     {"failing", m_storeContact.failingSince.has_value()},
+                     {"failing", !m_storeContact.failingSince.empty()},
                      {"silent", m_storeContact.silentSince.has_value()}});
     }
     m_server.setSource(isSource);
@@ -323,6 +322,7 @@
     m_log.write("feed", {{"from", "store"}, {"reason", feedReasonName(reason)}});
     m_isWatchingStore = true;
     m_storeContact.watchingSince = std::chrono::steady_clock::now();
+    m_noSourceSince.reset();
     m_follower.stop();
     m_hooks.startStoreWatches();
 }
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -40,8 +40,9 @@
 
     /// Applies updates from the store or from a source.
     void applyUpdates(const std::vector<feed_update> &updates);
-    /// Records whether the store answers this daemon's watches.
-    void setStoreReachable(bool reachable);
+    /// Records that the store has answered or failed a call of the watch of a kind. Must be called for each of them,
+    /// since a failure counts until an answer is recorded.
+    void recordStoreCall(const std::string &kind, bool isAnswered);
     /// Records whether the store has answered a probe. To be called while this daemon watches the store.
     void recordStoreProbe(bool isAnswered);
     /// Decides again where to read updates from; must be called in each gossip round.
--- a/Libraries/LibExchange/StoreContact.cpp
+++ b/Libraries/LibExchange/StoreContact.cpp
@@ -7,16 +7,14 @@
 /// Covers the first tries after the store has closed the watches.
 static constexpr Core::duration toleratedFailure = std::chrono::milliseconds(300);
 
-void recordStoreAnswer(store_contact &contact)
+void recordStoreAnswer(store_contact &contact, const std::string &kind)
 {
-    contact.failingSince.reset();
+    contact.failingSince.erase(kind);
 }
 
-void recordStoreFailure(store_contact &contact, Core::time_point now)
+bool recordStoreFailure(store_contact &contact, const std::string &kind, Core::time_point now)
 {
-    if (!contact.failingSince) {
-        contact.failingSince = now;
-    }
+    return contact.failingSince.try_emplace(kind, now).second;
 }
 
 void recordProbe(store_contact &contact, bool isAnswered, Core::time_point now)
@@ -30,18 +28,17 @@
 
 Core::duration unreachableFor(const store_contact &contact, Core::time_point now)
 {
-    Core::duration longest {};
-    for (const std::optional<Core::time_point> &since : {contact.failingSince, contact.silentSince}) {
-        if (since) {
-            longest = std::max(longest, now - std::max(*since, contact.watchingSince));
-        }
+    std::optional<Core::time_point> earliest = contact.silentSince;
+    for (const auto &[kind, since] : contact.failingSince) {
+        earliest = std::min(earliest.value_or(since), since);
     }
-    return longest;
+    return earliest ? now - std::max(*earliest, contact.watchingSince) : Core::duration {};
 }
 
 bool canRelayUpdates(const store_contact &contact, Core::time_point now)
 {
-    const bool isFailing = contact.failingSince && now - *contact.failingSince > toleratedFailure;
+    const bool isFailing = std::any_of(contact.failingSince.begin(), contact.failingSince.end(),
+                                       [&](const auto &failure) { return now - failure.second > toleratedFailure; });
     return !isFailing && !contact.silentSince;
 }
 
--- a/Libraries/LibExchange/StoreContact.h
+++ b/Libraries/LibExchange/StoreContact.h
@@ -2,19 +2,25 @@
 
 #include "LibCore/Time.h"
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace Exchange
 {
 /// Whether the store answers this daemon's watches.
 struct store_contact {
-    std::optional<Core::time_point> failingSince; ///< Since the first failure of a watch after the latest answer.
+    /// By kind, since the first failure of its watch after the latest answer to it. Only an answer to the same kind
+    /// ends it, also if the daemon does not watch the store in between.
+    std::map<std::string, Core::time_point> failingSince;
     std::optional<Core::time_point> silentSince; ///< Since a probe was not answered; null: the latest one was.
     Core::time_point watchingSince; ///< When the daemon began to watch the store this time.
 };
 
-void recordStoreAnswer(store_contact &contact);
-void recordStoreFailure(store_contact &contact, Core::time_point now);
+void recordStoreAnswer(store_contact &contact, const std::string &kind);
+
+/// Returns whether the kind has not been failing before.
+bool recordStoreFailure(store_contact &contact, const std::string &kind, Core::time_point now);
 
 /// Records whether the store has answered a probe. A pending watch does not show that the store has fallen silent.
 void recordProbe(store_contact &contact, bool isAnswered, Core::time_point now);
--- a/Tests/LibExchange/TestDecideFeed.cpp
+++ b/Tests/LibExchange/TestDecideFeed.cpp
@@ -80,6 +80,22 @@
     }
 }
 
+/// Guards against a daemon that awaits for good what only a daemon that is gone has announced, and reads the store
+/// again and again for it.
+TEST(DecideFeed, WhatADaemonThatIsGoneHasAnnouncedIsNotAwaited)
+{
+    feed_decision_state state;
+    feed_view view = followerView();
+    view.sourceSince = start - 10s;
+    view.announcedProgress.revisions = 12;
+    (void)decideFeed(state, view, start);
+    view.announcedProgress.revisions = 10;
+    for (Core::time_point now = start + 300ms; now < start + 10s; now += 300ms) {
+        const auto decision = decideFeed(state, view, now);
+        EXPECT_FALSE(decision.watchStore || decision.switchSource);
+    }
+}
+
 TEST(DecideFeed, WatcherFollowsPeerWhenStoreIsUnreachable)
 {
     feed_decision_state state;
--- a/Tests/LibExchange/TestFeedFailover.cpp
+++ b/Tests/LibExchange/TestFeedFailover.cpp
@@ -106,9 +106,9 @@
     void askStore()
     {
         if (m_isWatching && m_store.refused.contains(m_number)) {
-            m_feed->setStoreReachable(false);
+            m_feed->recordStoreCall(kind, false);
         } else if (m_isWatching) {
-            m_feed->setStoreReachable(true);
+            m_feed->recordStoreCall(kind, true);
             m_feed->applyUpdates({{kind,
                                    {0, m_store.revision},
                                    true,
@@ -202,16 +202,32 @@
     const Core::time_point start {1000s};
     Exchange::store_contact contact;
     EXPECT_TRUE(Exchange::canRelayUpdates(contact, start));
-    Exchange::recordStoreFailure(contact, start);
+    EXPECT_TRUE(Exchange::recordStoreFailure(contact, kind, start));
     EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 200ms)) << "the store has only closed the watches";
     EXPECT_FALSE(Exchange::canRelayUpdates(contact, Exchange::relayCheckTime(start)));
     contact.watchingSince = start + 2s;
     EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 2s)) << "it has begun to watch, and has heard nothing";
     EXPECT_EQ(Exchange::unreachableFor(contact, start + 3s), 1s);
-    Exchange::recordStoreAnswer(contact);
+    Exchange::recordStoreAnswer(contact, kind);
     EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 3s));
 }
 
+/// Each kind has a watch of its own, and the store may refuse one of them only.
+TEST(StoreContact, AnswerEndsTheFailureOfItsOwnKindOnly)
+{
+    const Core::time_point start {1000s};
+    Exchange::store_contact contact;
+    EXPECT_TRUE(Exchange::recordStoreFailure(contact, "a", start));
+    EXPECT_TRUE(Exchange::recordStoreFailure(contact, "b", start + 1s));
+    EXPECT_FALSE(Exchange::recordStoreFailure(contact, "b", start + 2s));
+    Exchange::recordStoreAnswer(contact, "a");
+    EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 3s));
+    EXPECT_EQ(Exchange::unreachableFor(contact, start + 3s), 2s);
+    Exchange::recordStoreAnswer(contact, "b");
+    EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 3s));
+    EXPECT_EQ(Exchange::unreachableFor(contact, start + 3s), 0s);
+}
+
 /// Guards against a daemon that goes on as a source although the store has fallen silent: its watch waits and shows
 /// nothing.
 TEST(StoreContact, SilentStoreEndsTheRelayAtOnce)
@@ -224,7 +240,7 @@
     EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 1s));
     Exchange::recordProbe(contact, false, start + 2s);
     EXPECT_EQ(Exchange::unreachableFor(contact, start + 2s), 1s);
-    Exchange::recordStoreAnswer(contact);
+    Exchange::recordStoreAnswer(contact, kind);
     EXPECT_FALSE(Exchange::canRelayUpdates(contact, start + 2s)) << "an answer that was on its way";
     Exchange::recordProbe(contact, true, start + 3s);
     EXPECT_TRUE(Exchange::canRelayUpdates(contact, start + 3s));
--- a/Tests/platform/TestObjectWatch.cpp
+++ b/Tests/platform/TestObjectWatch.cpp
@@ -21,8 +21,7 @@
             m_loop, m_timers, m_log, "127.0.0.1:" + std::to_string(m_store.address().port()), "things", 1000, 1ms,
             Platform::object_watch::callbacks {
                 [this](Exchange::feed_update update) { m_updates.push_back(std::move(update)); },
-                []() {},
-                [this](bool reachable) { m_reachable = reachable; },
+                [this](bool isAnswered) { m_isAnswered = isAnswered; },
                 []() {},
             });
     }
@@ -72,7 +71,7 @@
     std::deque<std::string> m_eras; ///< Values of the header with the era, by response.
     std::vector<std::string> m_calls;
     std::vector<Exchange::feed_update> m_updates;
-    std::optional<bool> m_reachable;
+    std::optional<bool> m_isAnswered; ///< The latest call.
     std::unique_ptr<Platform::object_watch> m_watch;
 };
 } // namespace
@@ -152,7 +151,23 @@
     ASSERT_TRUE(runUntil([this]() { return m_updates.size() > 1; }));
     EXPECT_GT(Exchange::decodeSuspectedRemoval(m_updates[1].entries.at(0).content), 1s);
     EXPECT_GT(m_updates[0].suspectedRemovalWait, 1s);
-    EXPECT_EQ(m_reachable, true);
+    EXPECT_EQ(m_isAnswered, true);
+}
+
+/// Guards against a failure that is never taken back. A probe that is answered first starts the watch again, which
+/// forgot its failures: the answer that followed did not count as the end of the outage, so that the daemon refused its
+/// followers and looked for another source for good, and removals after the outage counted as certain.
+TEST_F(object_watch_test, AnswerAfterARestartEndsTheFailure)
+{
+    m_answers = {{503, "{}"}};
+    m_watch->start();
+    ASSERT_TRUE(runUntil([this]() { return m_isAnswered.has_value(); }));
+    EXPECT_EQ(m_isAnswered, false);
+    m_answers = {emptyList};
+    m_watch->start();
+    ASSERT_TRUE(runUntil([this]() { return !m_updates.empty(); }));
+    EXPECT_EQ(m_isAnswered, true);
+    EXPECT_GT(m_updates[0].suspectedRemovalWait, 1s);
 }
 
 TEST_F(object_watch_test, DeletionWithoutOutageIsCertain)
