Tests: Show where a status outside of HTTP is refused

feed_follower_test.LeavesASourceThatIsNotCurrent belongs to the eras of the store: a follower leaves a source of an earlier one.

--- a/Tests/LibExchange/TestFeedFollower.cpp
+++ b/Tests/LibExchange/TestFeedFollower.cpp
@@ -1,6 +1,7 @@
 #include "Support/LoopFixture.h"
 #include "Support/RawServer.h"
 
+#include "LibExchange/FeedCodec.h"
 #include "LibExchange/FeedFollower.h"
 #include "LibFront/DecisionLog.h"
 
@@ -16,7 +17,8 @@
         for (int index = 0; index < 8; ++index) {
             m_servers.emplace_back(m_loop, [this](raw_connection &peer) {
                 peer.received.clear();
-                peer.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+                peer.send("HTTP/1.1 " + m_status + " X\r\nContent-Length: " + std::to_string(m_page.size()) + "\r\n\r\n"
+                          + m_page);
                 ++m_refusals;
             });
         }
@@ -38,7 +40,11 @@
                         return std::map<std::string, Exchange::store_revision> {{"k", {0, 1}}};
                     },
                 .sources = [this]() { return sources(); },
-                .onUpdates = [](const std::vector<Exchange::feed_update> &) { return true; },
+                .onUpdates =
+                    [this](const std::vector<Exchange::feed_update> &) {
+                        ++m_updateCount;
+                        return m_isCurrent;
+                    },
                 .onNoSource =
                     [this]() {
                         ++m_noSourceCount;
@@ -46,6 +52,10 @@
     }
 
     std::list<raw_server> m_servers;
+    std::string m_status = "503";
+    std::string m_page;
+    bool m_isCurrent = true; ///< What the follower's owner says of its source.
+    int m_updateCount = 0;
     int m_refusals = 0;
     int m_noSourceCount = 0;
     Front::decision_log m_log {"test"};
@@ -63,6 +73,33 @@
     EXPECT_FALSE(m_follower.isFollowing());
 }
 
+/// Guards against a status outside of HTTP that counts as a response of a peer.
+TEST_F(feed_follower_test, StatusOutsideOfTheProtocolLosesTheSource)
+{
+    m_page = Exchange::encodeFeed({{"k", {0, 5}, true, {}, {}}}, std::chrono::steady_clock::now());
+    for (const char *status : {"000", "099", "600", "999"}) {
+        m_status = status;
+        m_refusals = 0;
+        m_noSourceCount = 0;
+        Exchange::feed_follower &follower = m_followers.emplace_back(m_loop, m_timers, m_log, hooks());
+        follower.start();
+        EXPECT_TRUE(runUntil([this]() { return m_noSourceCount == 1; })) << status;
+        EXPECT_EQ(m_refusals, 8) << status;
+    }
+    EXPECT_EQ(m_updateCount, 0);
+}
+
+/// A daemon that has read the store after a restore must not stay with a source that serves what was before.
+TEST_F(feed_follower_test, LeavesASourceThatIsNotCurrent)
+{
+    m_status = "200";
+    m_page = Exchange::encodeFeed({{"k", {0, 5}, true, {}, {}}}, std::chrono::steady_clock::now());
+    m_isCurrent = false;
+    m_follower.start();
+    EXPECT_TRUE(runUntil([this]() { return m_noSourceCount == 1; }));
+    EXPECT_EQ(m_updateCount, 8);
+}
+
 /// A source refuses a request, and before the follower asks the next source, its owner switches the source because of
 /// lag. The new source has already received a request then and must not get a second one on the same connection.
 /// Between which handlers of the loop this happens depends on the loop, so the test switches after each of the first
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -93,6 +93,16 @@
     }
 }
 
+TEST(BrokenResponses, HealthCheckFailsWithStatusOutsideOfHttp)
+{
+    const std::string report = R"({"incarnation": "i-1", "load": 0})";
+    for (const std::string &status : invalidStatuses) {
+        const scripted_server server(response(status, "", report));
+        Platform::http_call call = Platform::encodeHealthCall(server.url().substr(std::string("http://").size()));
+        EXPECT_FALSE(Platform::decodeHealth(outcomeOf(server, std::move(call)))) << status;
+    }
+}
+
 /// Guards against a broken response that is believed to say that the request did not run, which allows another attempt.
 TEST(BrokenResponses, NothingIsTakenFromResponseWithStatusOutsideOfHttp)
 {
--- a/Tests/platform/TestObjectWatch.cpp
+++ b/Tests/platform/TestObjectWatch.cpp
@@ -46,7 +46,7 @@
         if (!m_eras.empty()) {
             m_eras.pop_front();
         }
-        peer.send("HTTP/1.1 " + std::to_string(status) + " X\r\n" + era
+        peer.send("HTTP/1.1 " + m_status.value_or(std::to_string(status)) + " X\r\n" + era
                   + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
@@ -68,6 +68,7 @@
                             answer(peer);
                         }};
     std::deque<std::pair<int, std::string>> m_answers;
+    std::optional<std::string> m_status; ///< Replaces the status of each response.
     std::deque<std::string> m_eras; ///< Values of the header with the era, by response.
     std::vector<std::string> m_calls;
     std::vector<Exchange::feed_update> m_updates;
@@ -180,6 +181,20 @@
     EXPECT_EQ(m_updates[0].suspectedRemovalWait, Core::duration {});
 }
 
+/// Guards against a status outside of HTTP that counts as an answer of the store.
+TEST_F(object_watch_test, StatusOutsideOfTheProtocolIsAFailure)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        m_status = status;
+        m_isAnswered.reset();
+        m_answers = {{200, R"({"items": [)" + object("a", 1) + R"(], "has-more": false, "store-revision": 7})"}};
+        m_watch->start();
+        ASSERT_TRUE(runUntil([this]() { return m_isAnswered.has_value(); })) << status;
+        EXPECT_EQ(m_isAnswered, false) << status;
+        EXPECT_TRUE(m_updates.empty()) << status;
+    }
+}
+
 TEST_F(object_watch_test, MalformedPageChangesNothing)
 {
     m_answers = {{200, "rubbish"}, {200, R"({"items": 5})"}};
