LibExchange: Stop awaiting what the store does not have any more

Cause: the progress that daemons announce counts the newest entry also after its removal. A daemon that starts later can't reach it; it listed everything every 2 s, or changed its source and its role, until the next change.

Change: a daemon that has listed every kind after the announcement takes what is still missing for removed, and awaits later announcements only.

--- a/Libraries/LibExchange/DecideFeed.cpp
+++ b/Libraries/LibExchange/DecideFeed.cpp
@@ -27,12 +27,18 @@
 /// the meantime don't restart the measurement: while objects change steadily, some update is always in flight.
 static Core::duration measureLag(feed_decision_state &state, const feed_view &view, Core::time_point now)
 {
+    // A list that was requested after the announcement shows all that the store has.
+    const bool hasListedSince = state.refreshedAt > state.awaitedSince && view.listedAt > state.refreshedAt;
+    if (view.isWatchingStore && hasListedSince) {
+        state.obsoleteProgress = std::max(state.obsoleteProgress, state.awaitedProgress);
+    }
+    const feed_progress known = std::max(view.ownProgress, state.obsoleteProgress);
     // The daemon that announced what is awaited may be gone.
-    if (view.ownProgress >= state.awaitedProgress || view.announcedProgress < state.awaitedProgress) {
+    if (known >= state.awaitedProgress || view.announcedProgress < state.awaitedProgress) {
         state.awaitedProgress = view.announcedProgress;
         state.awaitedSince = now;
     }
-    return view.ownProgress < state.awaitedProgress ? now - state.awaitedSince : Core::duration {};
+    return known < state.awaitedProgress ? now - state.awaitedSince : Core::duration {};
 }
 
 feed_decision decideFeed(feed_decision_state &state, const feed_view &view, Core::time_point now)
--- a/Libraries/LibExchange/FeedControl.cpp
+++ b/Libraries/LibExchange/FeedControl.cpp
@@ -163,6 +163,9 @@
         applyUpdate(state, update, [&](const feed_entry &known, const feed_entry &received) {
             return m_hooks.isOutdated && m_hooks.isOutdated(update.kind, known, received);
         });
+    if (update.isFullList && m_isWatchingStore) {
+        m_listedAt[update.kind] = std::chrono::steady_clock::now();
+    }
     if (update.isFullList && before.number > 0) {
         m_log.write("feed_list",
                     {{"kind", update.kind},
@@ -291,6 +294,12 @@
         view.announcedProgress = {newest.era, newest.number};
     }
     view.isWatchingStore = m_isWatchingStore;
+    if (m_listedAt.size() == m_states.size()) {
+        const auto earliest =
+            std::min_element(m_listedAt.begin(), m_listedAt.end(),
+                             [](const auto &left, const auto &right) { return left.second < right.second; });
+        view.listedAt = earliest->second;
+    }
     view.isSourceSilent = isSilent(m_follower.source(), now);
     view.sourceSince = m_follower.sourceSince();
     view.storeUnreachableFor = unreachableFor(m_storeContact, now);
--- a/Libraries/LibExchange/FeedControl.h
+++ b/Libraries/LibExchange/FeedControl.h
@@ -9,6 +9,7 @@
 #include "LibExchange/StoreContact.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -85,6 +86,7 @@
     std::uint32_t m_restoredEra = 0; ///< The era of the latest restore that this daemon has noticed; 0 if none.
     bool m_isSeed; ///< This daemon is a seed, which new daemons ask first.
     bool m_isWatchingStore = false;
+    std::map<std::string, Core::time_point> m_listedAt; ///< The latest full list from the store, by kind.
     bool m_isSource = false; ///< It relays updates to followers.
     bool m_isComplete = false;
     bool m_isAssignedToStore = false;
--- a/Libraries/LibExchange/FeedDecisionState.h
+++ b/Libraries/LibExchange/FeedDecisionState.h
@@ -14,6 +14,8 @@
     Core::time_point noSourceUntil; ///< Until then no other daemon is expected to have the feed.
     feed_progress awaitedProgress; ///< The announced progress that the daemon lacks and whose lag is measured.
     Core::time_point awaitedSince;
+    /// Announced by others, and not in the store any more: the entry that it counted was removed.
+    feed_progress obsoleteProgress;
     Core::time_point refreshedAt;
 };
 } // namespace Exchange
--- a/Libraries/LibExchange/FeedView.h
+++ b/Libraries/LibExchange/FeedView.h
@@ -14,6 +14,8 @@
     feed_progress announcedProgress; ///< The greatest that a live daemon has announced.
     bool isWatchingStore = false; ///< The daemon currently watches the store.
     Core::duration storeFallbackDelay {}; ///< Further lag before this daemon asks the store; differs between daemons.
+    /// When every kind had last been listed completely from the store.
+    Core::time_point listedAt;
     bool isSourceSilent = false; ///< While it follows: the source's heartbeats have stopped.
     Core::time_point sourceSince; ///< While it follows: when the current source was chosen.
     Core::duration storeUnreachableFor {}; ///< While it watches the store: how long the store has been unreachable.
--- a/Tests/LibExchange/TestDecideFeed.cpp
+++ b/Tests/LibExchange/TestDecideFeed.cpp
@@ -132,6 +132,33 @@
     EXPECT_FALSE(decideFeed(state, view, start + 1100ms).refresh);
 }
 
+/// Load: the newest entry is removed, and a daemon starts. The others' progress counts that entry, which the store does
+/// not have any more. The new daemon listed everything every 2 s until the next change.
+TEST(DecideFeed, ListsOnceForAnEntryThatTheStoreDoesNotHaveAnyMore)
+{
+    feed_decision_state state;
+    feed_view view = followerView();
+    view.watchesStore = true;
+    view.isWatchingStore = true;
+    view.announcedProgress.revisions = 11;
+    int lists = 0;
+    Core::time_point now = start;
+    for (; now < start + 20s; now += 300ms) {
+        if (decideFeed(state, view, now).refresh) {
+            ++lists;
+            view.listedAt = now + 20ms;
+        }
+    }
+    EXPECT_EQ(lists, 1);
+    view.isWatchingStore = false;
+    view.watchesStore = false;
+    view.sourceSince = start;
+    EXPECT_FALSE(decideFeed(state, view, now).switchSource) << "as a follower it does not look for the entry either";
+    view.announcedProgress.revisions = 12;
+    (void)decideFeed(state, view, now);
+    EXPECT_TRUE(decideFeed(state, view, now + 600ms).switchSource) << "what is announced later is awaited";
+}
+
 /// A slow source makes all of its followers lag. They must not turn to the store at the same moment.
 TEST(DecideFeed, LaggingFollowersAskTheStoreOneAfterTheOther)
 {
