--- a/Tests/LibExchange/TestFeed.cpp
+++ b/Tests/LibExchange/TestFeed.cpp
@@ -160,7 +160,7 @@
 }
 
 /// Guards against a removal that followers never learn of. A daemon that has just started has no removals of before its
-/// first list, and gave a follower that was behind that list only what it had.
+/// first list, and gave a follower that was behind that list the present entries only.
 TEST(Feed, DaemonThatHasJustStartedGivesAFullListToAFollowerThatIsBehind)
 {
     Exchange::feed_state follower;
@@ -187,7 +187,7 @@
     EXPECT_FALSE(Exchange::changesAfter(source, "k", {0, 5}).isFullList) << "the source was there itself";
 }
 
-/// Full lists are large; a daemon that changes its source must not need one as a rule.
+/// Guards against full lists, which are large, for a daemon that has only changed its source.
 TEST(Feed, PositionsThatWereWatchedAreAnsweredWithChanges)
 {
     Exchange::feed_state source;
--- a/Tests/LibExchange/TestFeedFollower.cpp
+++ b/Tests/LibExchange/TestFeedFollower.cpp
@@ -89,7 +89,7 @@
     EXPECT_EQ(m_updateCount, 0);
 }
 
-/// A daemon that has read the store after a restore must not stay with a source that serves what was before.
+/// Guards against a daemon that has read the store after a restore and follows a source that serves an earlier era.
 TEST_F(feed_follower_test, LeavesASourceThatIsNotCurrent)
 {
     m_status = "200";
